--- /dev/null
+++ b/apps/bench/src/index.ts
@@ -0,0 +1,3 @@
+/** Stand-ins of what the system is used with, and the experiments that measure it. */
+export { createFleet, type Fleet, type FleetOptions } from './lib/createFleet.js';
+export { runStart } from './lib/runStart.js';
--- /dev/null
+++ b/apps/bench/src/lib/createFleet.ts
@@ -0,0 +1,154 @@
+import {
+  createRandom,
+  hostIdSchema,
+  listEntries,
+  type AvailabilityZoneId,
+  type HostId,
+  type Random,
+} from '@endiveferry/base';
+import { createDaemon, type Daemon } from '@endiveferry/daemon';
+import {
+  processSettingsSchema,
+  readConfiguration,
+  formatFault,
+  type Configuration,
+} from '@endiveferry/settings';
+
+import {
+  startPlatformStandIn,
+  type ListedStates,
+  type PlatformStandIn,
+} from './standins/createPlatformStandIn.js';
+import { startStandIns, type StandIns } from './standins/startStandIns.js';
+
+const ANY_PORT = '127.0.0.1:0';
+const FIRST_PEER_PORT = 21_000;
+const PEER_PORTS = 20_000;
+
+/**
+ * Real daemons before stand-ins, all in this process and on loopback.
+ *
+ * @public
+ */
+export interface Fleet {
+  readonly platform: PlatformStandIn;
+  readonly standIns: StandIns;
+  readonly daemons: ReadonlyMap<HostId, Daemon>;
+  /** The configuration as it was published last. */
+  readonly configuration: () => Configuration;
+  /** Publishes a changed configuration. */
+  publish(change: (configuration: Configuration) => void): number;
+  publishHosts(states: ListedStates): number;
+  /** Starts a host that is not running. */
+  startHost(hostId: HostId): Promise<Daemon>;
+  close(): Promise<void>;
+}
+
+/**
+ * Options of a fleet.
+ *
+ * @public
+ */
+export interface FleetOptions {
+  /** A configuration folder, or a configuration. */
+  readonly source: string | Configuration;
+  readonly seed: number;
+  /** How many of the hosts to run; all when left out. */
+  readonly hostCount?: number;
+  /** Where the first host listens for callers; any free port when left out. */
+  readonly callersAddress?: string;
+  readonly operatorsAddress?: string;
+  readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
+  readonly readinessGraceMs?: number;
+}
+
+async function loadSource(source: string | Configuration): Promise<Configuration> {
+  if (typeof source !== 'string') return structuredClone(source);
+  const configuration = await readConfiguration(source);
+  if (configuration.isOk()) return configuration.value;
+  throw new Error(configuration.error.map(formatFault).join('\n'));
+}
+
+/** Keeps the first hosts, and gives each an address on loopback. */
+function placeHosts(configuration: Configuration, count: number, random: Random): void {
+  const base = FIRST_PEER_PORT + random.nextInteger(PEER_PORTS);
+  const hosts = listEntries(configuration.hosts).slice(0, count);
+  configuration.hosts = Object.fromEntries(
+    hosts.map(([id, host], index) => [id, { ...host, peerAddress: `127.0.0.1:${base + index}` }]),
+  );
+}
+
+const listLive = (configuration: Configuration): ListedStates => ({
+  hosts: Object.fromEntries(
+    Object.keys(configuration.hosts).map((id) => [id, { state: 'live' as const }]),
+  ),
+});
+
+/**
+ * Starts a fleet and waits until every host is ready.
+ *
+ * @param options - see {@link FleetOptions}
+ * @returns the fleet
+ * @public
+ */
+export async function createFleet(options: FleetOptions): Promise<Fleet> {
+  const random = createRandom(options.seed);
+  const source = await loadSource(options.source);
+  const standIns = await startStandIns(source, random);
+  const platform = await startPlatformStandIn();
+  let configuration = standIns.configuration;
+  // Ports differ from run to run, so that two runs at once do not meet.
+  placeHosts(configuration, options.hostCount ?? Infinity, createRandom(process.pid));
+  platform.publishConfiguration(configuration);
+  platform.publishHosts(listLive(configuration));
+  const daemons = new Map<HostId, Daemon>();
+
+  function buildSettings(hostId: HostId, availabilityZone: AvailabilityZoneId, isFirst: boolean) {
+    return processSettingsSchema.parse({
+      hostId,
+      availabilityZone,
+      callers: { address: (isFirst ? options.callersAddress : undefined) ?? ANY_PORT },
+      peers: { address: configuration.hosts[hostId]?.peerAddress },
+      operators: { address: (isFirst ? options.operatorsAddress : undefined) ?? ANY_PORT },
+      platform: { url: platform.url },
+      logLevel: options.logLevel ?? 'error',
+    });
+  }
+
+  async function startHost(hostId: HostId): Promise<Daemon> {
+    const host = configuration.hosts[hostId];
+    if (host === undefined) throw new Error(`${hostId} is not configured`);
+    const isFirst = Object.keys(configuration.hosts)[0] === hostId;
+    const daemon = await createDaemon({
+      settings: buildSettings(hostId, host.availabilityZone, isFirst),
+      seed: options.seed + daemons.size,
+      readinessGraceMs: options.readinessGraceMs ?? 200,
+    });
+    daemons.set(hostId, daemon);
+    return daemon;
+  }
+
+  for (const hostId of Object.keys(configuration.hosts)) {
+    await startHost(hostIdSchema.parse(hostId));
+  }
+  await Promise.all([...daemons.values()].map((daemon) => daemon.waitUntilReady()));
+
+  return {
+    platform,
+    standIns,
+    daemons,
+    configuration: () => configuration,
+    publish(change) {
+      configuration = structuredClone(configuration);
+      change(configuration);
+      return platform.publishConfiguration(configuration);
+    },
+    publishHosts: (states) => platform.publishHosts(states),
+    startHost,
+    async close() {
+      await Promise.all([...daemons.values()].map((daemon) => daemon.kill()));
+      await standIns.close();
+      await platform.close();
+    },
+  };
+}
--- /dev/null
+++ b/apps/bench/src/lib/runStart.ts
@@ -0,0 +1,90 @@
+import { parseArgs } from 'node:util';
+
+import { describeError } from '@endiveferry/base';
+import { setLogWriter } from '@endiveferry/telemetry';
+
+import { createFleet } from './createFleet.js';
+
+const SEED = 1;
+const EXIT_USAGE = 2;
+
+/** What to show of each example. */
+const examples = {
+  urdimbre: {
+    token: 'demo-taller-salto',
+    pipeline: 'beam-plan',
+    body: { question: 'How many sections for lot 4417?', texts: ['lot 4417, 32/2 cotton'] },
+  },
+  kakadu: {
+    token: 'demo-owners',
+    pipeline: 'owner-chat',
+    body: { question: 'Why does Pip shred rope?', texts: ['Pip, galah, shreds rope'] },
+  },
+} as const;
+
+type ExampleName = keyof typeof examples;
+
+function isExampleName(name: string): name is ExampleName {
+  return Object.hasOwn(examples, name);
+}
+
+function buildUsage(name: ExampleName, callers: string, operators: string): string {
+  const { token, pipeline, body } = examples[name];
+  const json = JSON.stringify(body);
+  const url = `http://${callers}/v1/pipelines/${pipeline}/requests`;
+  return `endiveferry is running the ${name} example before stand-in backend servers.
+  callers    http://${callers}
+  operators  http://${operators}
+
+Try a whole answer:
+  curl -s ${url} -H 'Authorization: Bearer ${token}' -H 'Content-Type: application/json' -d '${json}'
+
+Try a streamed one:
+  npx endiveferry submit ${pipeline} --address ${callers} --token ${token} --stream '${json}'
+
+Stop it with Ctrl-C.
+`;
+}
+
+/**
+ * Runs one daemon with an example before stand-ins, until it is told to stop.
+ *
+ * @param args - the command-line arguments
+ * @public
+ */
+export async function runStart(args: readonly string[]): Promise<void> {
+  const { values } = parseArgs({
+    args: [...args],
+    options: {
+      example: { type: 'string', default: 'urdimbre' },
+      port: { type: 'string', default: '8080' },
+      'operators-port': { type: 'string', default: '8081' },
+    },
+  });
+  const name = values.example;
+  if (!isExampleName(name)) {
+    process.stderr.write(`--example must be one of ${Object.keys(examples).join(', ')}\n`);
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  setLogWriter((line) => process.stderr.write(`${line}\n`));
+  try {
+    const fleet = await createFleet({
+      source: new URL(`../../../../examples/${name}`, import.meta.url).pathname,
+      seed: SEED,
+      hostCount: 1,
+      callersAddress: `127.0.0.1:${values.port}`,
+      operatorsAddress: `127.0.0.1:${values['operators-port']}`,
+      logLevel: 'warn',
+    });
+    const [daemon] = fleet.daemons.values();
+    if (daemon === undefined) throw new Error('the example has no host');
+    process.stdout.write(buildUsage(name, daemon.addresses.callers, daemon.addresses.operators));
+    const stop = () => void daemon.drain().then(() => process.exit(0));
+    process.once('SIGINT', stop);
+    process.once('SIGTERM', stop);
+  } catch (error) {
+    process.stderr.write(`cannot start: ${describeError(error)}\n`);
+    process.exit(1);
+  }
+}
--- /dev/null
+++ b/apps/bench/src/lib/standins/createPlatformStandIn.ts
@@ -0,0 +1,208 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+import { sendJson } from './createStandInServer.js';
+
+const LOOPBACK = '127.0.0.1';
+/** Longest value that the service holds, in bytes. */
+const MAX_VALUE_BYTES = 1_000_000;
+
+/** How the platform behaves. @public */
+export type PlatformMode = 'up' | 'down' | 'stale';
+
+/** The list of hosts as tests write it. @public */
+export interface ListedStates {
+  readonly hosts: Readonly<Record<string, { readonly state: 'live' | 'leaving' }>>;
+  readonly backendServers?: Readonly<Record<string, { readonly state: 'live' | 'leaving' }>>;
+}
+
+/**
+ * A stand-in of the platform: numbered configuration and a lagging list of hosts, to be read and
+ * watched only.
+ *
+ * @public
+ */
+export interface PlatformStandIn {
+  readonly url: string;
+  publishConfiguration(document: unknown): number;
+  publishHosts(states: ListedStates): number;
+  /** `stale` answers with what was published when the mode was set, and says as of when. */
+  setMode(mode: PlatformMode): void;
+  /** Delays each answer, in milliseconds. */
+  setDelay(delayMs: number): void;
+  readonly countReads: () => number;
+  readonly countRefusals: () => number;
+  close(): Promise<void>;
+}
+
+interface Watch<Value> {
+  readonly revision: number;
+  readonly value: Value;
+}
+
+/** A published value that readers can wait for. */
+interface Watchable<Value> {
+  readonly current: () => Watch<Value>;
+  readonly publish: (value: Value) => number;
+  readonly waitForChange: (waitMs: number) => Promise<void>;
+}
+
+/** Creates a value that readers can wait for. */
+function createWatchable<Value>(first: Value): Watchable<Value> {
+  let current: Watch<Value> = { revision: 0, value: first };
+  let waiters: (() => void)[] = [];
+  return {
+    current: () => current,
+    publish(value: Value): number {
+      current = { revision: current.revision + 1, value };
+      const woken = waiters;
+      waiters = [];
+      for (const wake of woken) wake();
+      return current.revision;
+    },
+    waitForChange(waitMs: number): Promise<void> {
+      return new Promise((resolve) => {
+        const timer = setTimeout(resolve, waitMs).unref();
+        waiters.push(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    },
+  };
+}
+
+function splitText(text: string): string[] {
+  const parts: string[] = [];
+  const buffer = Buffer.from(text);
+  for (let start = 0; start < buffer.length; start += MAX_VALUE_BYTES) {
+    parts.push(buffer.subarray(start, start + MAX_VALUE_BYTES).toString('latin1'));
+  }
+  return parts;
+}
+
+/**
+ * Starts a platform stand-in.
+ *
+ * @param options - reads that it takes in a second, over all readers
+ * @returns the stand-in, with nothing published
+ * @public
+ */
+export async function startPlatformStandIn(
+  options: { readonly readsPerSecond?: number } = {},
+): Promise<PlatformStandIn> {
+  const readsPerSecond = options.readsPerSecond ?? 2_000;
+  const configuration = createWatchable<unknown>(undefined);
+  const hosts = createWatchable<ListedStates>({ hosts: {} });
+  const sockets = new Set<Socket>();
+  let mode: PlatformMode = 'up';
+  let staleSince: { configuration: Watch<unknown>; hosts: Watch<ListedStates>; at: string };
+  let delayMs = 0;
+  let reads = 0;
+  let refusals = 0;
+  let second = { startedAt: 0, reads: 0 };
+
+  function isOverRate(): boolean {
+    const now = performance.now();
+    if (now - second.startedAt >= 1_000) second = { startedAt: now, reads: 0 };
+    second.reads += 1;
+    reads += 1;
+    return second.reads > readsPerSecond;
+  }
+
+  const readAsOf = () => (mode === 'stale' ? staleSince.at : new Date().toISOString());
+  const readConfiguration = () =>
+    mode === 'stale' ? staleSince.configuration : configuration.current();
+  const readHosts = () => (mode === 'stale' ? staleSince.hosts : hosts.current());
+
+  async function waitForNewer(
+    read: () => Watch<unknown>,
+    after: number,
+    waitMs: number,
+    waitForChange: (ms: number) => Promise<void>,
+  ): Promise<void> {
+    if (read().revision <= after && waitMs > 0) await waitForChange(waitMs);
+  }
+
+  function sendConfiguration(response: ServerResponse): void {
+    const { revision, value } = readConfiguration();
+    const text = JSON.stringify(value ?? null);
+    const base = { revision, asOf: readAsOf() };
+    if (text.length <= MAX_VALUE_BYTES) sendJson(response, 200, { ...base, document: value });
+    else sendJson(response, 200, { ...base, parts: splitText(text).length });
+  }
+
+  function sendPart(response: ServerResponse, path: string): void {
+    const index = Number(path.split('/').at(-1));
+    const part = splitText(JSON.stringify(readConfiguration().value))[index];
+    response.writeHead(part === undefined ? 404 : 200, { 'content-type': 'text/plain' });
+    response.end(part === undefined ? '' : Buffer.from(part, 'latin1'));
+  }
+
+  async function answer(url: URL, response: ServerResponse): Promise<void> {
+    const after = Number(url.searchParams.get('after') ?? 0);
+    const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
+    if (delayMs > 0) await new Promise((resolve) => setTimeout(resolve, delayMs));
+    if (url.pathname === '/v1/configuration') {
+      await waitForNewer(readConfiguration, after, waitMs, configuration.waitForChange);
+      sendConfiguration(response);
+    } else if (url.pathname === '/v1/hosts') {
+      await waitForNewer(readHosts, after, waitMs, hosts.waitForChange);
+      const { revision, value } = readHosts();
+      sendJson(response, 200, { revision, asOf: readAsOf(), ...value });
+    } else if (url.pathname.startsWith('/v1/configuration/')) {
+      sendPart(response, url.pathname);
+    } else {
+      sendJson(response, 404, {});
+    }
+  }
+
+  function receive(request: IncomingMessage, response: ServerResponse): void {
+    if (mode === 'down') {
+      request.socket.destroy();
+    } else if (isOverRate()) {
+      refusals += 1;
+      sendJson(response, 429, { error: 'too many reads' });
+    } else {
+      answer(new URL(request.url ?? '/', 'http://platform'), response).catch(() =>
+        response.destroy(),
+      );
+    }
+  }
+
+  const server = createServer(receive);
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, 1_024, resolve));
+  const { port } = server.address() as AddressInfo;
+  const cutAll = () => {
+    for (const socket of sockets) socket.destroy();
+  };
+
+  return {
+    url: `http://${LOOPBACK}:${port}`,
+    publishConfiguration: (document) => configuration.publish(document),
+    publishHosts: (states) => hosts.publish(states),
+    setMode(next) {
+      staleSince = {
+        configuration: configuration.current(),
+        hosts: hosts.current(),
+        at: new Date().toISOString(),
+      };
+      mode = next;
+      if (next === 'down') cutAll();
+    },
+    setDelay(ms) {
+      delayMs = ms;
+    },
+    countReads: () => reads,
+    countRefusals: () => refusals,
+    async close() {
+      const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+      cutAll();
+      await closed;
+    },
+  };
+}
--- /dev/null
+++ b/apps/bench/src/lib/standins/startStandIns.ts
@@ -0,0 +1,84 @@
+import { listEntries, type BackendServerId, type PoolId, type Random } from '@endiveferry/base';
+import type { Configuration, PoolKind } from '@endiveferry/settings';
+
+import { createEngineKind, type CacheCounts } from './createEngineKind.js';
+import { createLedger, type Ledger } from './createLedger.js';
+import { startStandInServer, type StandInKind, type StandInServer } from './createStandInServer.js';
+import {
+  createEncoderKind,
+  createPlainServiceKind,
+  createRerankerKind,
+  createRetrieverKind,
+} from './unaryKinds.js';
+
+/** Calls that wait at a stand-in for each one that it runs. */
+const QUEUE_FACTOR = 4;
+
+/**
+ * The stand-ins of all backend servers of a configuration.
+ *
+ * @public
+ */
+export interface StandIns {
+  readonly servers: ReadonlyMap<BackendServerId, StandInServer>;
+  readonly ledger: Ledger;
+  readonly cacheCounts: CacheCounts;
+  /** Lists the stand-ins of one pool. */
+  listPool(poolId: PoolId): readonly StandInServer[];
+  /** The configuration with the stand-ins' addresses in place of the real ones. */
+  readonly configuration: Configuration;
+  close(): Promise<void>;
+}
+
+type CreateKind = (random: Random, counts: CacheCounts, models: readonly string[]) => StandInKind;
+
+const kinds: Readonly<Record<PoolKind, CreateKind>> = {
+  'model-engine': createEngineKind,
+  encoder: createEncoderKind,
+  retriever: createRetrieverKind,
+  reranker: createRerankerKind,
+  'plain-service': createPlainServiceKind,
+};
+
+/**
+ * Starts a stand-in for each backend server.
+ *
+ * @param source - the configuration
+ * @param random - draws service times and faults
+ * @returns the stand-ins
+ * @public
+ */
+export async function startStandIns(source: Configuration, random: Random): Promise<StandIns> {
+  const ledger = createLedger();
+  const cacheCounts: CacheCounts = { lookups: 0, blocks: 0, hitBlocks: 0 };
+  const servers = new Map<BackendServerId, StandInServer>();
+  const pools = new Map<PoolId, StandInServer[]>();
+  const configuration = structuredClone(source);
+  for (const [poolId, pool] of listEntries(configuration.pools)) {
+    const members: StandInServer[] = [];
+    for (const [serverId, settings] of listEntries(pool.backendServers)) {
+      const server = await startStandInServer({
+        serverId,
+        concurrency: pool.serverConcurrency,
+        maxQueued: pool.serverConcurrency * QUEUE_FACTOR,
+        ledger,
+        random,
+        createKind: () => kinds[pool.kind](random, cacheCounts, settings.models),
+      });
+      settings.address = server.address;
+      servers.set(serverId, server);
+      members.push(server);
+    }
+    pools.set(poolId, members);
+  }
+  return {
+    servers,
+    ledger,
+    cacheCounts,
+    configuration,
+    listPool: (poolId) => pools.get(poolId) ?? [],
+    async close() {
+      await Promise.all([...servers.values()].map((server) => server.stop()));
+    },
+  };
+}
--- /dev/null
+++ b/apps/bench/src/lib/standins/unaryKinds.ts
@@ -0,0 +1,79 @@
+import { computeHash, type Random } from '@endiveferry/base';
+
+import { sendJson, type StandInCall, type StandInKind } from './createStandInServer.js';
+
+const VECTOR_LENGTH = 8;
+const DEFAULT_DOCUMENTS = 10;
+
+/** Service times of stand-ins, in milliseconds. */
+export const serviceTimes = {
+  encode: 6,
+  retrieve: 8,
+  rerank: 12,
+  plain: 10,
+} as const;
+
+const findCallId = (call: StandInCall) => String(call.headers['x-request-id'] ?? 'unnamed');
+const findPriority = (call: StandInCall) => Number(call.headers['x-priority'] ?? 9);
+
+/** Service times spread around a mean: half of it is fixed, the rest exponential. */
+function drawServiceMs(random: Random, meanMs: number): number {
+  return meanMs * (0.5 - 0.5 * Math.log(1 - random.nextFraction()));
+}
+
+function createUnaryKind(
+  random: Random,
+  meanMs: number,
+  answer: (call: StandInCall) => unknown,
+): StandInKind {
+  return {
+    findCallId,
+    findPriority,
+    async work(call, wait) {
+      await wait(drawServiceMs(random, meanMs));
+      sendJson(call.response, 200, answer(call));
+    },
+  };
+}
+
+function encode(call: StandInCall): unknown {
+  const texts = Array.isArray(call.body.texts) ? call.body.texts : [call.body.texts];
+  const vectors = texts.map((text) =>
+    Array.from({ length: VECTOR_LENGTH }, (_value, index) => computeHash(String(text), index)),
+  );
+  return { vectors };
+}
+
+function retrieve(call: StandInCall): unknown {
+  const limit = Number(call.body.limit ?? DEFAULT_DOCUMENTS);
+  const documents = Array.from({ length: limit }, (_value, index) => {
+    const id = computeHash(String(call.body.query), index).toString(16);
+    return { id, text: `document ${id} on ${String(call.body.query).slice(0, 40)}` };
+  });
+  return { documents };
+}
+
+function rerank(call: StandInCall): unknown {
+  const documents = Array.isArray(call.body.documents) ? (call.body.documents as unknown[]) : [];
+  return { documents: documents.slice(0, Number(call.body.limit ?? documents.length)) };
+}
+
+/** Creates the stand-in of an encoder. @internal */
+export const createEncoderKind = (random: Random): StandInKind =>
+  createUnaryKind(random, serviceTimes.encode, encode);
+
+/** Creates the stand-in of a retriever. @internal */
+export const createRetrieverKind = (random: Random): StandInKind =>
+  createUnaryKind(random, serviceTimes.retrieve, retrieve);
+
+/** Creates the stand-in of a reranker. @internal */
+export const createRerankerKind = (random: Random): StandInKind =>
+  createUnaryKind(random, serviceTimes.rerank, rerank);
+
+/** Creates the stand-in of a plain service; it answers with what it was asked. @internal */
+export const createPlainServiceKind = (random: Random): StandInKind =>
+  createUnaryKind(random, serviceTimes.plain, (call) => ({
+    confirmation: findCallId(call),
+    path: call.path,
+    received: call.body,
+  }));
--- /dev/null
+++ b/apps/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command-line tool. */
+export { runCli } from './lib/runCli.js';
--- /dev/null
+++ b/apps/cli/src/lib/formatTable.ts
@@ -0,0 +1,23 @@
+/**
+ * Formats rows for people, in columns that line up.
+ *
+ * @param header - the column names
+ * @param rows - the cells
+ * @returns the lines
+ * @internal
+ */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string[] {
+  const lines = [header, ...rows];
+  const widths = header.map((_name, column) =>
+    Math.max(...lines.map((cells) => (cells[column] ?? '').length)),
+  );
+  return lines.map((cells) =>
+    cells
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+}
--- /dev/null
+++ b/apps/cli/src/lib/hostCommands.ts
@@ -0,0 +1,188 @@
+import { Command, Option } from 'clipanion';
+
+import { exitCodes } from './BaseCommand.js';
+import { formatTable } from './formatTable.js';
+import { askHost, OperatorsCommand } from './OperatorsCommand.js';
+
+/** The parts of a host's status that the tool shows. */
+interface HostStatus {
+  readonly hostId: string;
+  readonly processId: string;
+  readonly state: string;
+  readonly activeRequests: number;
+  readonly configurationRevision?: number;
+  readonly hostListRevision: number;
+  readonly rejected?: { readonly revision: number; readonly faults: readonly string[] };
+  readonly hosts: readonly string[];
+  readonly peers: readonly { readonly hostId: string; readonly link: string }[];
+  readonly pools: readonly {
+    readonly poolId: string;
+    readonly running: number;
+    readonly waiting: number;
+    readonly budget: number;
+    readonly backendServers: readonly {
+      readonly serverId: string;
+      readonly health: string;
+      readonly isLeaving: boolean;
+    }[];
+  }[];
+}
+
+function formatHostRow(status: HostStatus): string[] {
+  const up = status.peers.filter((peer) => peer.link === 'up').length;
+  return [
+    status.hostId,
+    status.state,
+    String(status.activeRequests),
+    String(status.configurationRevision ?? '-'),
+    String(status.hostListRevision),
+    `${up}/${status.peers.length}`,
+  ];
+}
+
+function formatPoolRows(status: HostStatus): string[][] {
+  return status.pools.map((pool) => {
+    const unfit = pool.backendServers.filter((s) => s.health !== 'healthy' || s.isLeaving);
+    return [
+      status.hostId,
+      pool.poolId,
+      String(pool.running),
+      String(pool.waiting),
+      String(pool.budget),
+      `${pool.backendServers.length - unfit.length}/${pool.backendServers.length}`,
+      unfit.map((s) => `${s.serverId} ${s.isLeaving ? 'leaving' : s.health}`).join(', '),
+    ];
+  });
+}
+
+/** Finds what hosts do not agree on. */
+function listDisagreements(statuses: readonly HostStatus[]): string[] {
+  const views: [string, (status: HostStatus) => string][] = [
+    ['configuration revision', (status) => String(status.configurationRevision ?? '-')],
+    ['host list revision', (status) => String(status.hostListRevision)],
+    ['hosts', (status) => [...status.hosts].sort().join(' ')],
+  ];
+  const lines = views.flatMap(([what, read]) => {
+    const values = new Set(statuses.map(read));
+    if (values.size < 2) return [];
+    return [`${what}: ${statuses.map((s) => `${s.hostId} has ${read(s)}`).join('; ')}`];
+  });
+  const rejected = statuses.flatMap(({ hostId, rejected: revision }) =>
+    revision === undefined
+      ? []
+      : [`${hostId} rejects revision ${revision.revision}: ${revision.faults.join('; ')}`],
+  );
+  return [...lines, ...rejected];
+}
+
+/** `status`. @internal */
+export class StatusCommand extends OperatorsCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    description: 'show hosts as each one sees itself and the rest, and where they disagree',
+    examples: [['Two hosts', '$0 status --operators 127.0.0.1:8081 --operators 127.0.0.1:8091']],
+  });
+
+  async execute(): Promise<number> {
+    const answers = await this.askAll('/v1/status');
+    const statuses = answers.flatMap(({ answer }) =>
+      answer.isOk() ? [answer.value as HostStatus] : [],
+    );
+    const unreachable = answers.flatMap(({ answer }) => (answer.isErr() ? [answer.error] : []));
+    const disagreements = listDisagreements(statuses);
+    this.print({ statuses, unreachable, disagreements }, [
+      ...formatTable(
+        ['HOST', 'STATE', 'ACTIVE', 'CONFIGURATION', 'HOST LIST', 'LINKS'],
+        statuses.map(formatHostRow),
+      ),
+      '',
+      ...formatTable(
+        ['HOST', 'POOL', 'RUNNING', 'WAITING', 'BUDGET', 'SERVERS', ''],
+        statuses.flatMap(formatPoolRows),
+      ),
+      ...disagreements.map((line) => `disagreement: ${line}`),
+      ...unreachable.map((line) => `unreachable: ${line}`),
+    ]);
+    return unreachable.length > 0 ? exitCodes.failed : exitCodes.ok;
+  }
+}
+
+interface Trace {
+  readonly requestId: string;
+  readonly arrivedAt: string;
+  readonly events: readonly {
+    readonly atMs: number;
+    readonly event: string;
+    readonly detail: Readonly<Record<string, unknown>>;
+  }[];
+}
+
+function formatTrace(address: string, trace: Trace): string[] {
+  const rows = trace.events.map(({ atMs, event, detail }) => [
+    atMs.toFixed(1),
+    event,
+    Object.entries(detail)
+      .map(([name, value]) => {
+        const text =
+          typeof value === 'number' ? String(Math.round(value * 10) / 10) : String(value);
+        return `${name}=${text}`;
+      })
+      .join(' '),
+  ]);
+  return [
+    `${trace.requestId} at ${address}, arrived ${trace.arrivedAt}`,
+    ...formatTable(['MS', 'EVENT', 'DETAIL'], rows),
+  ];
+}
+
+/** `explain REQUEST_ID`. @internal */
+export class ExplainCommand extends OperatorsCommand {
+  static override paths = [['explain']];
+  static override usage = Command.Usage({
+    description: 'show what was decided about a request, where, when and why',
+    examples: [['Explain a request', '$0 explain host-1.0a1b2c3d4e5f.7']],
+  });
+
+  requestId = Option.String();
+
+  async execute(): Promise<number> {
+    const answers = await this.askAll(`/v1/requests/${encodeURIComponent(this.requestId)}`);
+    const traces = answers.flatMap(({ address, answer }) =>
+      answer.isOk() ? [{ address, trace: answer.value as Trace }] : [],
+    );
+    if (traces.length === 0) {
+      const reasons = answers.flatMap(({ answer }) => (answer.isErr() ? [answer.error] : []));
+      return this.fail(reasons.join('\n'));
+    }
+    this.print(
+      traces,
+      traces.flatMap(({ address, trace }) => formatTrace(address, trace)),
+    );
+    return exitCodes.ok;
+  }
+}
+
+/** `drain HOST`. @internal */
+export class DrainCommand extends OperatorsCommand {
+  static override paths = [['drain']];
+  static override usage = Command.Usage({
+    description: 'stop a host gracefully; requests in progress are finished',
+    examples: [['Stop host-2', '$0 drain host-2 --operators 127.0.0.1:8091']],
+  });
+
+  hostId = Option.String();
+
+  async execute(): Promise<number> {
+    const answers = await this.askAll('/v1/status');
+    const target = answers.find(
+      ({ answer }) => answer.isOk() && (answer.value as HostStatus).hostId === this.hostId,
+    );
+    if (target === undefined) {
+      return this.fail(`none of ${this.operators.join(', ')} is ${this.hostId}`);
+    }
+    const reply = await askHost(target.address, this.token, 'POST', '/v1/drain');
+    if (reply.isErr()) return this.fail(reply.error);
+    this.print({ hostId: this.hostId, isDraining: true }, [`${this.hostId} is draining`]);
+    return exitCodes.ok;
+  }
+}
--- /dev/null
+++ b/apps/daemon/src/lib/createCallersListener.ts
@@ -0,0 +1,243 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import {
+  createRefusal,
+  requestIdSchema,
+  type Clock,
+  type Failure,
+  type HostId,
+  type ProcessId,
+  type RequestId,
+  type WorkspaceId,
+} from '@endiveferry/base';
+import type { TlsKeys } from '@endiveferry/peers';
+import type { ProgressEvent } from '@endiveferry/pipeline';
+import type { Configuration } from '@endiveferry/settings';
+import type { Metrics } from '@endiveferry/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import type { Middleware, Request } from 'polka';
+
+import { buildProblem } from './buildProblem.js';
+import { createAuthenticator, type Authenticate } from './createAuthenticator.js';
+import { createHttpServer, type HttpServer } from './createHttpServer.js';
+import type { RequestService, ServiceAnswer } from './createRequestService.js';
+import { parseCall, type ParsedCall } from './parseCall.js';
+import { readBody } from './readBody.js';
+
+/** Keys that one call may ask for. */
+const MAX_ISSUED_KEYS = 100;
+const DRAINING_RETRY_AFTER_MS = 1_000;
+
+/**
+ * Options of the callers' listener.
+ *
+ * @internal
+ */
+export interface CallersListenerOptions {
+  readonly findKeys: () => TlsKeys | undefined;
+  readonly hostId: HostId;
+  readonly processId: ProcessId;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly service: RequestService;
+  readonly findConfiguration: () => Configuration | undefined;
+  readonly issueKey: (workspaceId: WorkspaceId) => string;
+  /** Whether new requests are refused because the host is about to stop. */
+  readonly isRefusing: () => boolean;
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+function sendProblem(response: ServerResponse, requestId: RequestId, failure: Failure): void {
+  const { problem, headers } = buildProblem(requestId, failure);
+  response.writeHead(problem.status, { 'content-type': 'application/problem+json', ...headers });
+  response.end(JSON.stringify(problem));
+}
+
+function sendEvent(response: ServerResponse, event: string, data: unknown): void {
+  response.write(`event: ${event}\ndata: ${JSON.stringify(data)}\n\n`);
+}
+
+function buildAnswer(requestId: RequestId, call: ParsedCall, answer: ServiceAnswer) {
+  const { output, tokens, isReplay } = answer;
+  return { requestId, pipeline: call.pipelineId, output, tokens, isReplay };
+}
+
+/** Opens the stream with the first event, so that an early refusal still gets its own status. */
+function createStream(response: ServerResponse) {
+  let isOpen = false;
+  const open = () => {
+    if (isOpen) return;
+    isOpen = true;
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' });
+  };
+  return {
+    isOpen: () => isOpen,
+    send(event: string, data: unknown) {
+      open();
+      sendEvent(response, event, data);
+    },
+  };
+}
+
+/** Aborts when the caller goes away before the answer is out. */
+function createCallerSignal(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+/**
+ * Creates the callers' listener.
+ *
+ * @param options - see {@link CallersListenerOptions}
+ * @returns the server, which does not listen yet
+ * @internal
+ */
+export function createCallersListener(options: CallersListenerOptions): HttpServer {
+  const { clock, metrics, service, findConfiguration } = options;
+  let nextNumber = 0;
+  let authenticator: { configuration: Configuration; authenticate: Authenticate } | undefined;
+
+  function createRequestId(): RequestId {
+    nextNumber += 1;
+    return requestIdSchema.parse(
+      `${options.hostId}.${options.processId}.${nextNumber.toString(36)}`,
+    );
+  }
+
+  function authenticate(
+    configuration: Configuration,
+    request: IncomingMessage,
+  ): Result<WorkspaceId, Failure> {
+    if (authenticator?.configuration !== configuration) {
+      authenticator = { configuration, authenticate: createAuthenticator(configuration) };
+    }
+    const workspaceId = authenticator.authenticate(request.headers.authorization);
+    if (workspaceId !== undefined) return ok(workspaceId);
+    return err(createRefusal('unauthenticated', 'the bearer token belongs to no workspace'));
+  }
+
+  /** Checks that hold for whatever a caller asks. */
+  function admitCaller(
+    request: IncomingMessage,
+  ): Result<{ configuration: Configuration; workspaceId: WorkspaceId }, Failure> {
+    const configuration = findConfiguration();
+    if (options.isRefusing() || configuration === undefined) {
+      const detail = 'this host takes no requests now; another one does';
+      return err(createRefusal('draining', detail, DRAINING_RETRY_AFTER_MS));
+    }
+    return authenticate(configuration, request).map((workspaceId) => ({
+      configuration,
+      workspaceId,
+    }));
+  }
+
+  async function serveWhole(
+    call: ParsedCall,
+    serve: Parameters<RequestService['serve']>[1],
+    response: ServerResponse,
+  ): Promise<void> {
+    const result = await service.serve(call, serve);
+    if (result.isErr()) sendProblem(response, serve.requestId, result.error);
+    else sendJson(response, 200, buildAnswer(serve.requestId, call, result.value));
+  }
+
+  async function serveStream(
+    call: ParsedCall,
+    serve: Parameters<RequestService['serve']>[1],
+    response: ServerResponse,
+  ): Promise<void> {
+    const stream = createStream(response);
+    let hasToken = false;
+    const onProgress = ({ type, ...data }: ProgressEvent) => {
+      if (type === 'token' && !hasToken) {
+        hasToken = true;
+        metrics.recordFirstToken(call.rankId, clock.now() - serve.arrivedAt);
+      }
+      stream.send(type, data);
+    };
+    const result = await service.serve(call, { ...serve, onProgress });
+    if (result.isOk()) {
+      stream.send('answer', buildAnswer(serve.requestId, call, result.value));
+      response.end();
+    } else if (stream.isOpen()) {
+      stream.send('problem', buildProblem(serve.requestId, result.error).problem);
+      response.end();
+    } else {
+      sendProblem(response, serve.requestId, result.error);
+    }
+  }
+
+  async function handleRequest(
+    request: Request,
+    response: ServerResponse,
+    requestId: RequestId,
+  ): Promise<Result<void, Failure>> {
+    const arrivedAt = clock.now();
+    const caller = admitCaller(request);
+    if (caller.isErr()) return err(caller.error);
+    const { configuration, workspaceId } = caller.value;
+    const pipeline = request.params.pipeline ?? '';
+    const call = parseCall(configuration, workspaceId, pipeline, request.headers);
+    if (call.isErr()) return err(call.error);
+    const signal = createCallerSignal(response);
+    const body = await readBody(request, configuration.limits.maxBodyBytes);
+    if (body.isErr()) return err(body.error);
+    const serve = { requestId, arrivedAt, body: body.value, signal };
+    if (call.value.wantsStream) await serveStream(call.value, serve, response);
+    else await serveWhole(call.value, serve, response);
+    return ok();
+  }
+
+  function handleKeys(request: Request, response: ServerResponse): Result<void, Failure> {
+    const caller = admitCaller(request);
+    if (caller.isErr()) return err(caller.error);
+    const count = Number(request.query.count ?? 1);
+    if (!Number.isInteger(count) || count < 1 || count > MAX_ISSUED_KEYS) {
+      const detail = `count must be a whole number from 1 to ${MAX_ISSUED_KEYS}`;
+      return err(createRefusal('bad-request', detail));
+    }
+    const keys = Array.from({ length: count }, () => options.issueKey(caller.value.workspaceId));
+    request.resume();
+    sendJson(response, 201, { keys });
+    return ok();
+  }
+
+  /** Gives each request its id and sends the problem of one that is refused. */
+  function wrap(
+    handle: (
+      request: Request,
+      response: ServerResponse,
+      requestId: RequestId,
+    ) => Result<void, Failure> | Promise<Result<void, Failure>>,
+  ): Middleware {
+    return async (request, response) => {
+      const requestId = createRequestId();
+      response.setHeader('endiveferry-request-id', requestId);
+      if (options.isRefusing()) response.setHeader('connection', 'close');
+      const result = await handle(request, response, requestId);
+      if (result.isErr()) sendProblem(response, requestId, result.error);
+    };
+  }
+
+  const http = createHttpServer(options.findKeys, {
+    onNoMatch: (request, response) => {
+      request.resume();
+      sendProblem(response, createRequestId(), createRefusal('not-found', 'there is no such path'));
+    },
+    onError: (_error, request, response) => {
+      request.resume();
+      const failure = { reason: 'internal', detail: 'an error of this system' } as const;
+      sendProblem(response, createRequestId(), { ...failure, execution: 'may-have-run' });
+    },
+  });
+  http.app.post('/v1/pipelines/:pipeline/requests', wrap(handleRequest));
+  http.app.post('/v1/idempotency-keys', wrap(handleKeys));
+  return http;
+}
--- /dev/null
+++ b/apps/daemon/src/lib/createOperatorsListener.ts
@@ -0,0 +1,97 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { ServerResponse } from 'node:http';
+
+import { requestIdSchema } from '@endiveferry/base';
+import type { Metrics, TraceStore } from '@endiveferry/telemetry';
+import type { Middleware } from 'polka';
+
+import type { HostStatus } from './buildStatus.js';
+import { createHttpServer, type HttpServer } from './createHttpServer.js';
+
+/**
+ * Options of the operators' listener.
+ *
+ * @internal
+ */
+export interface OperatorsListenerOptions {
+  readonly token: string | undefined;
+  readonly metrics: Metrics;
+  readonly traces: TraceStore;
+  readonly isReady: () => boolean;
+  readonly buildStatus: () => HostStatus;
+  /** Begins a graceful stop. */
+  readonly drain: () => void;
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+function isSameSecret(first: string, second: string): boolean {
+  const hash = (text: string) => createHash('sha256').update(text).digest();
+  return timingSafeEqual(hash(first), hash(second));
+}
+
+/**
+ * Creates the operators' listener: health, readiness, metrics, status, explanation and drain.
+ *
+ * @param options - see {@link OperatorsListenerOptions}
+ * @returns the server, which does not listen yet
+ * @internal
+ */
+export function createOperatorsListener(options: OperatorsListenerOptions): HttpServer {
+  const { token, metrics, traces } = options;
+
+  /** Health and readiness stay open, since balancers carry no token. */
+  const protect =
+    (handle: Middleware): Middleware =>
+    (request, response, next) => {
+      const given = request.headers.authorization ?? '';
+      if (token !== undefined && !isSameSecret(given, `Bearer ${token}`)) {
+        sendJson(response, 401, { error: 'the operators token is missing or wrong' });
+        return;
+      }
+      return handle(request, response, next);
+    };
+
+  const http = createHttpServer(() => undefined, {
+    onNoMatch: (_request, response) => sendJson(response, 404, { error: 'there is no such path' }),
+    onError: (error, _request, response) =>
+      sendJson(response, 500, { error: typeof error === 'string' ? error : error.message }),
+  });
+  http.app.get('/healthz', (_request, response) => sendJson(response, 200, { isAlive: true }));
+  http.app.get('/readyz', (_request, response) => {
+    const isReady = options.isReady();
+    sendJson(response, isReady ? 200 : 503, { isReady });
+  });
+  http.app.get(
+    '/metrics',
+    protect(async (_request, response) => {
+      const text = await metrics.format();
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(text);
+    }),
+  );
+  http.app.get(
+    '/v1/status',
+    protect((_request, response) => sendJson(response, 200, options.buildStatus())),
+  );
+  http.app.get(
+    '/v1/requests/:requestId',
+    protect((request, response) => {
+      const requestId = requestIdSchema.safeParse(request.params.requestId).data;
+      const trace = requestId === undefined ? undefined : traces.findTrace(requestId);
+      if (trace !== undefined) sendJson(response, 200, trace);
+      else sendJson(response, 404, { error: 'this host has no record of the request' });
+    }),
+  );
+  http.app.post(
+    '/v1/drain',
+    protect((_request, response) => {
+      options.drain();
+      sendJson(response, 202, { isDraining: true });
+    }),
+  );
+  return http;
+}
--- /dev/null
+++ b/apps/daemon/src/lib/createPeerHandlers.ts
@@ -0,0 +1,128 @@
+import type { BackendServerId, HostId, ProcessId } from '@endiveferry/base';
+import type { FleetDemand } from '@endiveferry/admission';
+import { handOverSchema, keyedRequestSchema, type Claims } from '@endiveferry/claims';
+import type {
+  HandleHostRequest,
+  Heartbeat,
+  PeerNetwork,
+  PeerRequestKind,
+} from '@endiveferry/peers';
+import { hostListSchema } from '@endiveferry/platform';
+import { z } from 'zod';
+
+import type { ControlState } from './createControlState.js';
+
+const READ_TIMEOUT_MS = 5_000;
+
+const publishedSchema = z.object({ revision: z.int(), document: z.unknown() });
+
+/**
+ * What other hosts have told.
+ *
+ * @internal
+ */
+export interface PeerKnowledge {
+  readonly receiveHeartbeat: (hostId: HostId, heartbeat: Heartbeat) => void;
+  /** Backend servers that some host has seen to be leaving. */
+  readonly listLeavingServers: () => ReadonlySet<BackendServerId>;
+  readonly findProcess: (hostId: HostId) => ProcessId | undefined;
+  readonly findSuccessor: (processId: ProcessId) => HostId | undefined;
+  /** Hosts that answer and are not about to stop. */
+  readonly listStaying: () => readonly HostId[];
+  readonly handleRequest: HandleHostRequest;
+}
+
+/**
+ * Options of what is learnt from other hosts.
+ *
+ * @internal
+ */
+export interface PeerHandlersOptions {
+  readonly control: ControlState;
+  readonly fleetDemand: FleetDemand;
+  readonly findNetwork: () => PeerNetwork;
+  readonly findClaims: () => Claims;
+  /** Called when the set of leaving backend servers may have changed. */
+  readonly onLeaving: () => void;
+}
+
+/**
+ * Creates what a host learns from other hosts and does for them.
+ *
+ * @param options - see {@link PeerHandlersOptions}
+ * @returns the knowledge, empty at first
+ * @internal
+ */
+export function createPeerHandlers(options: PeerHandlersOptions): PeerKnowledge {
+  const { control, fleetDemand, findNetwork, findClaims } = options;
+  const heartbeats = new Map<HostId, Heartbeat>();
+  const successors = new Map<ProcessId, HostId>();
+  const reading = new Set<PeerRequestKind>();
+
+  /** Reads something newer from another host; one reading of a kind is enough at a time. */
+  async function readNewer(
+    hostId: HostId,
+    kind: PeerRequestKind,
+    apply: (body: unknown) => void,
+  ): Promise<void> {
+    if (reading.has(kind)) return;
+    reading.add(kind);
+    const reply = await findNetwork().request(hostId, kind, {}, READ_TIMEOUT_MS);
+    reading.delete(kind);
+    if (reply.isOk()) apply(reply.value);
+  }
+
+  function applyConfiguration(hostId: HostId, body: unknown): void {
+    const published = publishedSchema.safeParse(body).data;
+    if (published !== undefined) control.applyConfiguration(published, hostId);
+  }
+
+  function applyHostList(hostId: HostId, body: unknown): void {
+    const list = hostListSchema.safeParse(body).data;
+    if (list !== undefined) control.applyHostList(list, hostId);
+  }
+
+  const handlers: Partial<
+    Record<PeerRequestKind, (hostId: HostId, body: unknown) => Promise<unknown>>
+  > = {
+    'read-configuration': () => Promise.resolve(control.published()),
+    'read-host-list': () => Promise.resolve(control.hostList()),
+    'forward-request': (_hostId, body) => findClaims().runForwarded(keyedRequestSchema.parse(body)),
+    'take-over-keys': (_hostId, body) => {
+      findClaims().takeOver(handOverSchema.parse(body));
+      findNetwork().sendHeartbeats();
+      return Promise.resolve({ isTaken: true });
+    },
+  };
+
+  return {
+    receiveHeartbeat(hostId, heartbeat) {
+      heartbeats.set(hostId, heartbeat);
+      fleetDemand.recordDemand(hostId, heartbeat.demand);
+      for (const processId of heartbeat.takenOverProcesses) successors.set(processId, hostId);
+      options.onLeaving();
+      if (heartbeat.configurationRevision > control.seenRevision()) {
+        void readNewer(hostId, 'read-configuration', (body) => applyConfiguration(hostId, body));
+      }
+      if (heartbeat.hostListRevision > control.hostListRevision()) {
+        void readNewer(hostId, 'read-host-list', (body) => applyHostList(hostId, body));
+      } else {
+        control.confirmHostList(heartbeat.hostListRevision, heartbeat.hostListAsOf);
+      }
+    },
+    listLeavingServers: () =>
+      new Set([...heartbeats.values()].flatMap((heartbeat) => heartbeat.leavingServers)),
+    findProcess: (hostId) => heartbeats.get(hostId)?.processId,
+    findSuccessor: (processId) => successors.get(processId),
+    listStaying: () =>
+      findNetwork()
+        .listLinks()
+        .filter(({ state, lastHeartbeat }) => state === 'up' && lastHeartbeat?.isDraining === false)
+        .map(({ hostId }) => hostId),
+    handleRequest(hostId, kind, body) {
+      const handle = handlers[kind];
+      if (handle === undefined) throw new Error(`nothing handles ${kind}`);
+      return handle(hostId, body);
+    },
+  };
+}
--- /dev/null
+++ b/apps/daemon/src/lib/readBody.ts
@@ -0,0 +1,32 @@
+import type { IncomingMessage } from 'node:http';
+
+import { createRefusal, describeError, type Failure } from '@endiveferry/base';
+import { err, ok, type Result } from 'neverthrow';
+
+/**
+ * Reads a JSON body of bounded size.
+ *
+ * @param request - the HTTP request
+ * @param maxBytes - the longest body taken, in bytes
+ * @returns the body, or why it is refused
+ * @internal
+ */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, Failure>> {
+  const tooLarge = createRefusal('body-too-large', `the body is longer than ${maxBytes} bytes`);
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge);
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > maxBytes) return err(tooLarge);
+      chunks.push(chunk);
+    }
+    return ok(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+  } catch (error) {
+    return err(createRefusal('bad-request', `the body is not JSON: ${describeError(error)}`));
+  }
+}
--- /dev/null
+++ b/apps/daemon/src/lib/runProcess.ts
@@ -0,0 +1,86 @@
+import { parseArgs } from 'node:util';
+
+import { describeError } from '@endiveferry/base';
+import { formatFault, readProcessSettings } from '@endiveferry/settings';
+import { setLogWriter } from '@endiveferry/telemetry';
+
+import { createDaemon, type Daemon } from './createDaemon.js';
+
+const EXIT_OK = 0;
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+const USAGE = `endiveferryd: serves callers of multi-stage pipelines
+
+Usage: endiveferryd --settings FILE
+
+  --settings FILE   the process settings, in JSON (see docs/OPERATIONS.md)
+  --help            this text
+
+Signals: SIGTERM and SIGINT stop gracefully; SIGHUP reads TLS files again.
+Exit codes: 0 stopped gracefully, 1 could not start, 2 wrong arguments or settings.
+`;
+
+function printError(text: string): void {
+  process.stderr.write(`${text}\n`);
+}
+
+/** A second signal doesn't cut anything off: it says what is still being waited for. */
+function handleSignals(daemon: Daemon): void {
+  let isStopping = false;
+  const stop = (signal: string) => {
+    if (isStopping) {
+      const { activeRequests } = daemon.status();
+      printError(`${signal}: still waiting for ${activeRequests} requests; use SIGKILL to cut off`);
+      return;
+    }
+    isStopping = true;
+    void daemon.drain().then(() => process.exit(EXIT_OK));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  process.on('SIGHUP', () => {
+    daemon.reload().catch((error: unknown) => printError(`reload: ${describeError(error)}`));
+  });
+}
+
+function parseSettingsFile(args: readonly string[]): string | undefined {
+  const { values } = parseArgs({
+    args: [...args],
+    options: { settings: { type: 'string' }, help: { type: 'boolean' } },
+  });
+  return values.help === true ? undefined : values.settings;
+}
+
+/**
+ * Runs the daemon as a process of its own.
+ *
+ * @param args - the command-line arguments
+ * @public
+ */
+export async function runProcess(args: readonly string[]): Promise<void> {
+  let file: string | undefined;
+  try {
+    file = parseSettingsFile(args);
+  } catch (error) {
+    printError(describeError(error));
+  }
+  if (file === undefined) {
+    process.stdout.write(USAGE);
+    process.exitCode = args.includes('--help') ? EXIT_OK : EXIT_USAGE;
+    return;
+  }
+  const settings = await readProcessSettings(file);
+  if (settings.isErr()) {
+    for (const fault of settings.error) printError(formatFault(fault));
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  setLogWriter((line) => process.stdout.write(`${line}\n`));
+  try {
+    handleSignals(await createDaemon({ settings: settings.value }));
+  } catch (error) {
+    printError(`cannot start: ${describeError(error)}`);
+    process.exit(EXIT_FAILED);
+  }
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,53 @@
+import tseslint from 'typescript-eslint';
+import tsdoc from 'eslint-plugin-tsdoc';
+
+// Low packages first: each may import only from those before it. Apps may import any package.
+const packageOrder = [
+  'base',
+  'telemetry',
+  'settings',
+  'platform',
+  'peers',
+  'claims',
+  'admission',
+  'routing',
+  'pipeline',
+];
+
+const layerRules = packageOrder.map((name, index) => ({
+  files: [`packages/${name}/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [...packageOrder.slice(index), 'daemon', 'bench', 'cli'].map((later) => ({
+          group: [`@endiveferry/${later}`],
+          message: `packages/${name} may not import from ${later}`,
+        })),
+      },
+    ],
+  },
+}));
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', 'tools/**', '**/bin/**', 'eslint.config.js'] },
+  {
+    files: ['**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    plugins: { tsdoc },
+    rules: {
+      'tsdoc/syntax': 'error',
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+    },
+  },
+  {
+    // node:test returns a promise from test() that the runner itself awaits.
+    files: ['**/*.test.ts'],
+    rules: { '@typescript-eslint/no-floating-promises': 'off' },
+  },
+  ...layerRules,
+);
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,24 @@
+/** Limits, queues, ranks, fair shares and shedding. */
+export { apportionSlots, type ApportionOptions } from './lib/apportionSlots.js';
+export { createFleetDemand, type FleetDemand, type HostDemand } from './lib/createFleetDemand.js';
+export { createRetryBudget, type RetryBudget } from './lib/createRetryBudget.js';
+export {
+  createServiceEstimator,
+  type ServiceEstimate,
+  type ServiceEstimator,
+} from './lib/createServiceEstimator.js';
+export {
+  createStageQueue,
+  type RankPolicy,
+  type Slot,
+  type SlotDemand,
+  type StageQueue,
+  type StageQueueOptions,
+} from './lib/createStageQueue.js';
+export { createUsageMeter, type UsageMeter } from './lib/createUsageMeter.js';
+export {
+  createWorkspaceLimiter,
+  type WorkspaceLimiter,
+  type WorkspaceLimiterOptions,
+} from './lib/createWorkspaceLimiter.js';
+export type { QueueRequest } from './lib/QueueEntry.js';
--- /dev/null
+++ b/packages/admission/src/lib/createFairQueue.ts
@@ -0,0 +1,130 @@
+import type { WorkspaceId } from '@endiveferry/base';
+import TinyQueue from 'tinyqueue';
+
+import type { QueueEntry } from './QueueEntry.js';
+
+/**
+ * The waiting calls of one rank.
+ *
+ * @internal
+ */
+export interface FairQueue {
+  push(entry: QueueEntry): void;
+  /** Takes the next call: fair between workspaces by cost and weight, then by latest start. */
+  pop(): QueueEntry | undefined;
+  /** Tells that an entry left the queue without being popped. */
+  remove(entry: QueueEntry): void;
+  /** Finds the call to refuse first: of the workspace most over its share, the one due last. */
+  findVictim(): QueueEntry | undefined;
+  /** Waiting calls. */
+  count(): number;
+  /** Service that a workspace's waiting calls need, in milliseconds. */
+  waitingMs(workspaceId: WorkspaceId): number;
+  /** How many calls of a workspace wait. */
+  waitingCount(workspaceId: WorkspaceId): number;
+  /** The workspaces that have waiting calls. */
+  listWaiting(): readonly WorkspaceId[];
+}
+
+interface WorkspaceQueue {
+  readonly entries: TinyQueue<QueueEntry>;
+  count: number;
+  waitingMs: number;
+  /** Virtual time at which the service dispatched so far would end at this workspace's weight. */
+  finishTag: number;
+}
+
+/**
+ * Creates a queue with start-time fair queueing between workspaces. A workspace that was idle
+ * neither keeps credit nor pays for service that nobody else wanted at the time.
+ *
+ * @param findWeight - a workspace's weight
+ * @returns an empty queue
+ * @internal
+ */
+export function createFairQueue(findWeight: (workspaceId: WorkspaceId) => number): FairQueue {
+  const workspaces = new Map<WorkspaceId, WorkspaceQueue>();
+  let virtualTime = 0;
+  let total = 0;
+
+  function findQueue(workspaceId: WorkspaceId): WorkspaceQueue {
+    let queue = workspaces.get(workspaceId);
+    if (queue === undefined) {
+      const entries = new TinyQueue<QueueEntry>([], (a, b) => a.latestStartAt - b.latestStartAt);
+      queue = { entries, count: 0, waitingMs: 0, finishTag: 0 };
+      workspaces.set(workspaceId, queue);
+    }
+    return queue;
+  }
+
+  function forget(queue: WorkspaceQueue, entry: QueueEntry): void {
+    queue.count -= 1;
+    queue.waitingMs -= entry.costMs;
+    total -= 1;
+  }
+
+  /** Entries that were refused or cancelled stay in the heap until they come up. */
+  function popWaiting(queue: WorkspaceQueue): QueueEntry | undefined {
+    for (let entry = queue.entries.pop(); entry; entry = queue.entries.pop()) {
+      if (entry.isWaiting) return entry;
+    }
+    return undefined;
+  }
+
+  function findNextWorkspace(): [WorkspaceId, WorkspaceQueue] | undefined {
+    let next: [WorkspaceId, WorkspaceQueue] | undefined;
+    let nextTag = Infinity;
+    for (const [id, queue] of workspaces) {
+      if (queue.count === 0) continue;
+      const startTag = Math.max(virtualTime, queue.finishTag);
+      if (startTag >= nextTag) continue;
+      next = [id, queue];
+      nextTag = startTag;
+    }
+    return next;
+  }
+
+  return {
+    push(entry) {
+      const queue = findQueue(entry.workspaceId);
+      queue.entries.push(entry);
+      queue.count += 1;
+      queue.waitingMs += entry.costMs;
+      total += 1;
+    },
+    pop() {
+      const next = findNextWorkspace();
+      if (next === undefined) return undefined;
+      const [workspaceId, queue] = next;
+      const entry = popWaiting(queue);
+      if (entry === undefined) return undefined;
+      forget(queue, entry);
+      virtualTime = Math.max(virtualTime, queue.finishTag);
+      queue.finishTag = virtualTime + entry.costMs / findWeight(workspaceId);
+      return entry;
+    },
+    remove(entry) {
+      forget(findQueue(entry.workspaceId), entry);
+    },
+    findVictim() {
+      let worst: WorkspaceQueue | undefined;
+      let worstShare = -1;
+      for (const [id, queue] of workspaces) {
+        const share = queue.waitingMs / findWeight(id);
+        if (queue.count === 0 || share <= worstShare) continue;
+        worst = queue;
+        worstShare = share;
+      }
+      const waiting = worst?.entries.data.filter((entry) => entry.isWaiting) ?? [];
+      return waiting.reduce<QueueEntry | undefined>(
+        (last, entry) =>
+          last === undefined || entry.latestStartAt >= last.latestStartAt ? entry : last,
+        undefined,
+      );
+    },
+    count: () => total,
+    waitingMs: (workspaceId) => workspaces.get(workspaceId)?.waitingMs ?? 0,
+    waitingCount: (workspaceId) => workspaces.get(workspaceId)?.count ?? 0,
+    listWaiting: () => [...workspaces].filter(([, queue]) => queue.count > 0).map(([id]) => id),
+  };
+}
--- /dev/null
+++ b/packages/admission/src/lib/createRetryBudget.ts
@@ -0,0 +1,36 @@
+/** Retries that may be saved up, and that a fresh budget starts with. */
+const MAX_SAVED_RETRIES = 20;
+
+/**
+ * Bounds retries and hedges to a share of first tries, so that a fleet under failure cannot
+ * multiply its own load.
+ *
+ * @public
+ */
+export interface RetryBudget {
+  /** Counts a first try, which earns a part of a retry. */
+  recordFirstTry(): void;
+  /** Takes one retry out of the budget; false when there is none. */
+  tryWithdraw(): boolean;
+}
+
+/**
+ * Creates a budget.
+ *
+ * @param findShare - retries earned by one first try, from 0 to 1
+ * @returns a full budget
+ * @public
+ */
+export function createRetryBudget(findShare: () => number): RetryBudget {
+  let balance = MAX_SAVED_RETRIES;
+  return {
+    recordFirstTry() {
+      balance = Math.min(MAX_SAVED_RETRIES, balance + findShare());
+    },
+    tryWithdraw() {
+      if (balance < 1) return false;
+      balance -= 1;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/src/lib/createWorkspaceLimiter.ts
@@ -0,0 +1,108 @@
+import { createRefusal, type Clock, type Failure, type WorkspaceId } from '@endiveferry/base';
+import type { Workspace } from '@endiveferry/settings';
+import { err, ok, type Result } from 'neverthrow';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Unused rate that may be saved up, as time. */
+const BURST_MS = 1_000;
+/** Smallest part of a fleet-wide limit that a host with demand may use. */
+const MIN_HOST_SHARE = 0.02;
+
+/**
+ * Options of a workspace limiter.
+ *
+ * @public
+ */
+export interface WorkspaceLimiterOptions {
+  readonly clock: Clock;
+  readonly findLimits: (workspaceId: WorkspaceId) => Workspace['limits'];
+  /** This host's share of the workspace's demand on the whole fleet, from 0 to 1. */
+  readonly findHostShare: (workspaceId: WorkspaceId) => number;
+}
+
+/**
+ * Holds workspaces to their fleet-wide limits.
+ *
+ * @public
+ */
+export interface WorkspaceLimiter {
+  /** Admits one request; the result ends it, or says why it is refused. */
+  admit(workspaceId: WorkspaceId): Result<() => void, Failure>;
+  /** Requests that a workspace has offered to this host, a second, lately. */
+  findOfferedRate(workspaceId: WorkspaceId): number;
+  /** The workspaces that have offered requests. */
+  listWorkspaces(): readonly WorkspaceId[];
+}
+
+interface WorkspaceState {
+  running: number;
+  tokens: number;
+  refilledAt: number;
+  offeredRate: number;
+}
+
+/**
+ * Creates a limiter that uses this host's share of each limit.
+ *
+ * @param options - see {@link WorkspaceLimiterOptions}
+ * @returns the limiter
+ * @public
+ */
+export function createWorkspaceLimiter(options: WorkspaceLimiterOptions): WorkspaceLimiter {
+  const { clock, findLimits, findHostShare } = options;
+  const states = new Map<WorkspaceId, WorkspaceState>();
+
+  function findState(workspaceId: WorkspaceId): WorkspaceState {
+    let state = states.get(workspaceId);
+    if (state === undefined) {
+      state = { running: 0, tokens: 1, refilledAt: clock.now(), offeredRate: 0 };
+      states.set(workspaceId, state);
+    }
+    return state;
+  }
+
+  function refill(state: WorkspaceState, ratePerSecond: number): void {
+    const elapsedMs = clock.now() - state.refilledAt;
+    const burst = Math.max(1, (ratePerSecond * BURST_MS) / MILLISECONDS_PER_SECOND);
+    state.tokens = Math.min(
+      burst,
+      state.tokens + (ratePerSecond * elapsedMs) / MILLISECONDS_PER_SECOND,
+    );
+    state.offeredRate *= Math.exp(-elapsedMs / MILLISECONDS_PER_SECOND);
+    state.refilledAt = clock.now();
+  }
+
+  return {
+    admit(workspaceId) {
+      const state = findState(workspaceId);
+      const limits = findLimits(workspaceId);
+      const share = Math.max(MIN_HOST_SHARE, findHostShare(workspaceId));
+      const rate = (limits.requestsPerSecond ?? Infinity) * share;
+      refill(state, rate);
+      state.offeredRate += 1;
+      if (state.tokens < 1) {
+        const waitMs = ((1 - state.tokens) / rate) * MILLISECONDS_PER_SECOND;
+        return err(
+          createRefusal('limit-reached', 'over the request rate of the workspace', waitMs),
+        );
+      }
+      const maxRunning = Math.max(1, Math.round((limits.concurrentRequests ?? Infinity) * share));
+      if (state.running >= maxRunning) {
+        const detail = 'over the concurrent requests of the workspace';
+        return err(createRefusal('limit-reached', detail, MILLISECONDS_PER_SECOND));
+      }
+      if (Number.isFinite(rate)) state.tokens -= 1;
+      state.running += 1;
+      return ok(() => {
+        state.running -= 1;
+      });
+    },
+    findOfferedRate(workspaceId) {
+      const state = states.get(workspaceId);
+      if (state === undefined) return 0;
+      const elapsedMs = clock.now() - state.refilledAt;
+      return state.offeredRate * Math.exp(-elapsedMs / MILLISECONDS_PER_SECOND);
+    },
+    listWorkspaces: () => [...states.keys()],
+  };
+}
--- /dev/null
+++ b/packages/base/src/index.ts
@@ -0,0 +1,52 @@
+/** Ids, verdicts, time, chance and the few helpers that every other package needs. */
+export { assertNever } from './lib/assertNever.js';
+export { createSystemClock, isAborted, waitFor, type Clock } from './lib/clock.js';
+export { createFakeClock, type FakeClock } from './lib/createFakeClock.js';
+export { createRandom, type Random } from './lib/createRandom.js';
+export {
+  createStateMachine,
+  type StateMachine,
+  type TransitionTable,
+} from './lib/createStateMachine.js';
+export {
+  createSupervisor,
+  type Supervisor,
+  type SupervisorOptions,
+  type Task,
+} from './lib/createSupervisor.js';
+export { describeError } from './lib/describeError.js';
+export { computeHash, computeRendezvousOrder } from './lib/hash.js';
+export {
+  availabilityZoneIdSchema,
+  backendServerIdSchema,
+  hostIdSchema,
+  modelIdSchema,
+  pipelineIdSchema,
+  poolIdSchema,
+  processIdSchema,
+  rankIdSchema,
+  requestIdSchema,
+  stageIdSchema,
+  workspaceIdSchema,
+  type AvailabilityZoneId,
+  type BackendServerId,
+  type HostId,
+  type ModelId,
+  type PipelineId,
+  type PoolId,
+  type ProcessId,
+  type RankId,
+  type RequestId,
+  type StageId,
+  type WorkspaceId,
+} from './lib/ids.js';
+export { listEntries } from './lib/listEntries.js';
+export {
+  createRefusal,
+  executionSchema,
+  failureReasonSchema,
+  mergeExecution,
+  type Execution,
+  type Failure,
+  type FailureReason,
+} from './lib/Verdict.js';
--- /dev/null
+++ b/packages/base/src/lib/createStateMachine.ts
@@ -0,0 +1,78 @@
+import {
+  createMachine,
+  interpret,
+  state,
+  transition,
+  type Machine,
+  type SendFunction,
+} from 'robot3';
+
+/**
+ * For each state, the state that each event leads to.
+ *
+ * @public
+ */
+export type TransitionTable<State extends string, Event extends string> = Readonly<
+  Record<State, Readonly<Partial<Record<Event, State>>>>
+>;
+
+/**
+ * A running state machine.
+ *
+ * @public
+ */
+export interface StateMachine<State extends string, Event extends string> {
+  /** The current state. */
+  current(): State;
+  /**
+   * Applies an event.
+   *
+   * @returns whether the current state has a transition for it; if not, nothing changes
+   */
+  send(event: Event): boolean;
+}
+
+/**
+ * Creates a robot3 machine from a table of transitions, with the state names kept in the types.
+ *
+ * @param initial - the first state
+ * @param table - the transitions
+ * @param onChange - called after each transition with the new and the earlier state
+ * @returns the running machine
+ * @public
+ */
+export function createStateMachine<State extends string, Event extends string>(
+  initial: State,
+  table: TransitionTable<State, Event>,
+  onChange?: (current: State, previous: State) => void,
+): StateMachine<State, Event> {
+  const states = Object.fromEntries(
+    Object.entries<Readonly<Partial<Record<Event, State>>>>(table).map(([name, targets]) => [
+      name,
+      state(
+        ...Object.entries<State | undefined>(targets).flatMap(([event, target]) =>
+          target === undefined ? [] : [transition(event, target)],
+        ),
+      ),
+    ]),
+  );
+  let previous = initial;
+  // The library's types cannot follow states that come from a table; this module's own types do.
+  const machine = createMachine(initial, states) as unknown as Machine;
+  const service = interpret(machine, (changed) => {
+    const next = changed.machine.current as State;
+    const before = previous;
+    previous = next;
+    onChange?.(next, before);
+  });
+  const sendEvent = service.send as unknown as SendFunction<string>;
+  const current = () => service.machine.current as State;
+  return {
+    current,
+    send(event) {
+      if (table[current()][event] === undefined) return false;
+      sendEvent(event);
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/claims/src/lib/createHomeView.ts
@@ -0,0 +1,104 @@
+import { computeRendezvousOrder, type Clock, type HostId } from '@endiveferry/base';
+
+/**
+ * What a host needs to know to run a key that a caller made up.
+ *
+ * @public
+ */
+export interface HomeLimits {
+  readonly clockSkewMs: number;
+  readonly viewValidityMs: number;
+  readonly keyRetentionMs: number;
+}
+
+/** Why a host may not run a key as its home. @public */
+export type HomeObstacle =
+  | 'not-home'
+  | 'view-unconfirmed'
+  | 'born-before-start'
+  | 'born-before-change'
+  | 'born-too-long-ago'
+  | 'born-in-the-future';
+
+/**
+ * This host's view of which host is the home of which key, and of what it can prove.
+ *
+ * @public
+ */
+export interface HomeView {
+  /** Takes over a list of hosts. */
+  setHosts(hosts: readonly HostId[]): void;
+  /** Notes up to when, in wall-clock milliseconds, the platform vouches for the list. */
+  confirm(asOfMs: number): void;
+  /** The home of a key; undefined without a list. */
+  findHome(key: string): HostId | undefined;
+  /** Looks for a reason against running a key that was born at a wall-clock time. */
+  findObstacle(key: string, bornAtMs: number): HomeObstacle | undefined;
+}
+
+interface PastView {
+  readonly hosts: readonly HostId[];
+  /** Wall-clock time from which on this host knew a newer list. */
+  readonly replacedAt: number;
+}
+
+/**
+ * Creates a view without a list. Whoever holds an older list may act on it until that list's
+ * confirmation has expired, so a key whose home has changed is run only if it was born after that.
+ *
+ * @param hostId - this host
+ * @param clock - its clocks; wall-clock times of hosts and callers differ by `clockSkewMs` at most
+ * @param findLimits - the limits in force
+ * @returns the view
+ * @public
+ */
+export function createHomeView(
+  hostId: HostId,
+  clock: Clock,
+  findLimits: () => HomeLimits,
+): HomeView {
+  const startedAt = clock.wallTime();
+  let hosts: readonly HostId[] = [];
+  let confirmedAsOf = -Infinity;
+  let pastViews: PastView[] = [];
+
+  const findHomeIn = (view: readonly HostId[], key: string) => computeRendezvousOrder(key, view)[0];
+
+  function isBornBeforeChange(key: string, bornAtMs: number): boolean {
+    const { clockSkewMs, viewValidityMs } = findLimits();
+    return pastViews.some(
+      (view) =>
+        findHomeIn(view.hosts, key) !== hostId &&
+        bornAtMs <= view.replacedAt + viewValidityMs + 2 * clockSkewMs,
+    );
+  }
+
+  return {
+    setHosts(nextHosts) {
+      const isSame =
+        nextHosts.length === hosts.length && nextHosts.every((id) => hosts.includes(id));
+      if (isSame) return;
+      const now = clock.wallTime();
+      const { keyRetentionMs } = findLimits();
+      // A first list has no forerunner here, but others may have acted on one: the start covers it.
+      if (hosts.length > 0) pastViews.push({ hosts, replacedAt: now });
+      pastViews = pastViews.filter((view) => view.replacedAt > now - 2 * keyRetentionMs);
+      hosts = [...nextHosts];
+    },
+    confirm(asOfMs) {
+      confirmedAsOf = Math.max(confirmedAsOf, asOfMs);
+    },
+    findHome: (key) => findHomeIn(hosts, key),
+    findObstacle(key, bornAtMs) {
+      const { clockSkewMs, viewValidityMs, keyRetentionMs } = findLimits();
+      const now = clock.wallTime();
+      if (findHomeIn(hosts, key) !== hostId) return 'not-home';
+      if (now > confirmedAsOf + viewValidityMs) return 'view-unconfirmed';
+      if (bornAtMs <= startedAt + viewValidityMs + 2 * clockSkewMs) return 'born-before-start';
+      if (isBornBeforeChange(key, bornAtMs)) return 'born-before-change';
+      if (bornAtMs <= now - keyRetentionMs + clockSkewMs) return 'born-too-long-ago';
+      // Such a key could outlive its own record.
+      return bornAtMs > now + clockSkewMs ? 'born-in-the-future' : undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,18 @@
+/** Links between hosts: framing, heartbeats, and requests from host to host. */
+export { choosePeers } from './lib/choosePeers.js';
+export {
+  createPeerConnection,
+  type HandlePeerRequest,
+  type PeerConnection,
+  type PeerFailure,
+} from './lib/createPeerConnection.js';
+export type { HandleHostRequest } from './lib/createPeerListener.js';
+export {
+  createPeerNetwork,
+  type LinkState,
+  type LinkStatus,
+  type PeerNetwork,
+  type PeerNetworkOptions,
+} from './lib/createPeerNetwork.js';
+export { heartbeatSchema, type Heartbeat, type PeerRequestKind } from './lib/messages.js';
+export { openPeerSocket, type TlsKeys } from './lib/openPeerSocket.js';
--- /dev/null
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -0,0 +1,327 @@
+import {
+  createStateMachine,
+  describeError,
+  waitFor,
+  type Clock,
+  type HostId,
+  type ProcessId,
+  type Random,
+  type Supervisor,
+} from '@endiveferry/base';
+import type { Logger } from '@endiveferry/telemetry';
+import { err, type Result } from 'neverthrow';
+
+import {
+  createPeerConnection,
+  type PeerConnection,
+  type PeerFailure,
+} from './createPeerConnection.js';
+import {
+  startPeerListener,
+  type HandleHostRequest,
+  type PeerListener,
+} from './createPeerListener.js';
+import {
+  heartbeatSchema,
+  PROTOCOL_VERSION,
+  type Heartbeat,
+  type PeerRequestKind,
+} from './messages.js';
+import { openPeerSocket, type TlsKeys } from './openPeerSocket.js';
+
+const HEARTBEAT_INTERVAL_MS = 500;
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+/** Heartbeats without an answer after which a link counts as dead, though its socket is open. */
+const MAX_MISSED_HEARTBEATS = 2;
+const CONNECT_TIMEOUT_MS = 1_000;
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 2_000;
+/** A connection that was opened for one request is kept this long for the next. */
+const SPARE_CONNECTION_MS = 30_000;
+
+/** State of the link to another host. @public */
+export type LinkState = 'connecting' | 'up' | 'suspect' | 'down';
+
+/**
+ * What operators see of a link.
+ *
+ * @public
+ */
+export interface LinkStatus {
+  readonly hostId: HostId;
+  readonly state: LinkState;
+  readonly lastHeartbeat: Heartbeat | undefined;
+  /** Monotonic time of the last heartbeat that was answered, in milliseconds. */
+  readonly lastHeardAt: number | undefined;
+}
+
+/**
+ * Options of the network of hosts.
+ *
+ * @public
+ */
+export interface PeerNetworkOptions {
+  readonly hostId: HostId;
+  readonly processId: ProcessId;
+  readonly address: string;
+  readonly keys: () => TlsKeys | undefined;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly supervisor: Supervisor;
+  readonly findAddress: (hostId: HostId) => string | undefined;
+  readonly isListed: (hostId: HostId) => boolean;
+  readonly buildHeartbeat: () => Heartbeat;
+  readonly onHeartbeat: (hostId: HostId, heartbeat: Heartbeat) => void;
+  /** Does what other hosts ask, heartbeats and greetings excepted. */
+  readonly handleRequest: HandleHostRequest;
+}
+
+/**
+ * The links of this host to others.
+ *
+ * @public
+ */
+export interface PeerNetwork {
+  readonly address: string;
+  /** Keeps links to these hosts, and to no others. */
+  setPeers(hostIds: readonly HostId[]): void;
+  /** Asks another host, over its link or over a connection opened for it. */
+  request(
+    hostId: HostId,
+    kind: PeerRequestKind,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, PeerFailure>>;
+  /** Sends heartbeats at once, because there is news. */
+  sendHeartbeats(): void;
+  readonly listLinks: () => readonly LinkStatus[];
+  /** Bytes sent and received on connections that this host opened. */
+  readonly countBytes: () => number;
+  reloadKeys(): void;
+  close(): Promise<void>;
+}
+
+interface Link {
+  readonly hostId: HostId;
+  readonly machine: ReturnType<typeof createLinkMachine>;
+  connection: PeerConnection | undefined;
+  lastHeartbeat: Heartbeat | undefined;
+  lastHeardAt: number | undefined;
+  /** Ends the wait before the next heartbeat. */
+  wake: () => void;
+  stop: () => Promise<void>;
+}
+
+function createLinkMachine(onChange: (state: LinkState, previous: LinkState) => void) {
+  return createStateMachine<LinkState, 'opened' | 'answered' | 'missed' | 'closed' | 'retried'>(
+    'connecting',
+    {
+      connecting: { opened: 'up', closed: 'down' },
+      up: { missed: 'suspect', closed: 'down' },
+      suspect: { answered: 'up', closed: 'down' },
+      down: { retried: 'connecting' },
+    },
+    onChange,
+  );
+}
+
+/**
+ * Starts listening for other hosts; links are opened by {@link PeerNetwork.setPeers}.
+ *
+ * @param options - see {@link PeerNetworkOptions}
+ * @returns the network
+ * @throws Error when the address cannot be used
+ * @public
+ */
+export async function createPeerNetwork(options: PeerNetworkOptions): Promise<PeerNetwork> {
+  const { clock, random, logger, supervisor } = options;
+  const links = new Map<HostId, Link>();
+  const spares = new Map<HostId, Promise<PeerConnection>>();
+  let closedBytes = 0;
+
+  function receiveHeartbeat(hostId: HostId, body: unknown): void {
+    options.onHeartbeat(hostId, heartbeatSchema.parse(body));
+  }
+
+  const handleRequest: HandleHostRequest = (hostId, kind, body) => {
+    if (kind !== 'heartbeat') return options.handleRequest(hostId, kind, body);
+    receiveHeartbeat(hostId, body);
+    return Promise.resolve(options.buildHeartbeat());
+  };
+
+  /** Opens a connection and greets the other side. */
+  async function openConnection(hostId: HostId): Promise<PeerConnection> {
+    const address = options.findAddress(hostId);
+    if (address === undefined) throw new Error(`${hostId} has no address`);
+    const socket = await openPeerSocket(hostId, address, options.keys(), CONNECT_TIMEOUT_MS);
+    const connection = createPeerConnection(socket, clock, (kind, body) =>
+      handleRequest(hostId, kind, body),
+    );
+    void connection.closed.then(() => {
+      closedBytes += connection.countBytes();
+    });
+    const hello = {
+      version: PROTOCOL_VERSION,
+      hostId: options.hostId,
+      processId: options.processId,
+    };
+    const greeting = await connection.request('hello', hello, CONNECT_TIMEOUT_MS);
+    if (greeting.isOk()) return connection;
+    connection.destroy();
+    throw new Error(`${hostId} did not greet back: ${greeting.error.detail}`);
+  }
+
+  async function exchangeHeartbeat(link: Link, connection: PeerConnection): Promise<boolean> {
+    const reply = await connection.request(
+      'heartbeat',
+      options.buildHeartbeat(),
+      HEARTBEAT_TIMEOUT_MS,
+    );
+    const heartbeat = reply.map((body) => heartbeatSchema.safeParse(body).data);
+    if (heartbeat.isErr() || heartbeat.value === undefined) return false;
+    link.lastHeartbeat = heartbeat.value;
+    link.lastHeardAt = clock.now();
+    options.onHeartbeat(link.hostId, heartbeat.value);
+    return true;
+  }
+
+  /** Waits for the next heartbeat's time, or until there is news. */
+  function waitForHeartbeat(link: Link, signal: AbortSignal): Promise<void> {
+    const wake = new AbortController();
+    link.wake = () => wake.abort();
+    const intervalMs = HEARTBEAT_INTERVAL_MS * (0.9 + random.nextFraction() * 0.2);
+    return waitFor(clock, intervalMs, AbortSignal.any([signal, wake.signal]));
+  }
+
+  async function runHeartbeats(
+    link: Link,
+    connection: PeerConnection,
+    signal: AbortSignal,
+  ): Promise<void> {
+    let missed = 0;
+    while (!signal.aborted && connection.isOpen() && missed < MAX_MISSED_HEARTBEATS) {
+      const isAnswered = await exchangeHeartbeat(link, connection);
+      missed = isAnswered ? 0 : missed + 1;
+      link.machine.send(isAnswered ? 'answered' : 'missed');
+      if (isAnswered) await waitForHeartbeat(link, signal);
+    }
+  }
+
+  async function runLink(link: Link, signal: AbortSignal): Promise<void> {
+    for (let retryMs = FIRST_RETRY_MS; !signal.aborted;) {
+      try {
+        const connection = await openConnection(link.hostId);
+        link.connection = connection;
+        link.machine.send('opened');
+        retryMs = FIRST_RETRY_MS;
+        await runHeartbeats(link, connection, signal);
+        connection.destroy();
+      } catch (error) {
+        logger.debug('no link to a host', { peer: link.hostId, error: describeError(error) });
+      }
+      link.connection = undefined;
+      link.machine.send('closed');
+      await waitFor(clock, random.nextFraction() * retryMs, signal);
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+      link.machine.send('retried');
+    }
+  }
+
+  function addLink(hostId: HostId): void {
+    const link: Link = {
+      hostId,
+      machine: createLinkMachine((state, previous) => {
+        const isNews = state === 'up' || previous === 'up' || previous === 'suspect';
+        if (isNews) logger.info('link changed', { peer: hostId, state });
+      }),
+      connection: undefined,
+      lastHeartbeat: undefined,
+      lastHeardAt: undefined,
+      wake: () => undefined,
+      stop: () => Promise.resolve(),
+    };
+    links.set(hostId, link);
+    link.stop = supervisor.spawn(`link-${hostId}`, (signal) => runLink(link, signal));
+  }
+
+  /** Finds or opens a connection for a single request. */
+  function findSpare(hostId: HostId): Promise<PeerConnection> {
+    const known = spares.get(hostId);
+    if (known !== undefined) return known;
+    const opening = openConnection(hostId);
+    spares.set(hostId, opening);
+    const forget = () => {
+      if (spares.get(hostId) === opening) spares.delete(hostId);
+    };
+    opening.then((connection) => {
+      const cancelEnd = clock.schedule(SPARE_CONNECTION_MS, () => connection.destroy());
+      void connection.closed.then(() => {
+        cancelEnd();
+        forget();
+      });
+    }, forget);
+    return opening;
+  }
+
+  const listener: PeerListener = await startPeerListener({ ...options, handleRequest });
+
+  return {
+    address: listener.address,
+    setPeers(hostIds) {
+      const wanted = new Set(hostIds);
+      for (const [hostId, link] of links) {
+        if (wanted.has(hostId)) continue;
+        links.delete(hostId);
+        void link.stop();
+        link.connection?.destroy();
+      }
+      for (const hostId of wanted) {
+        if (!links.has(hostId)) addLink(hostId);
+      }
+    },
+    async request(hostId, kind, body, timeoutMs) {
+      const link = links.get(hostId);
+      if (link?.connection?.isOpen() === true && link.machine.current() === 'up') {
+        return link.connection.request(kind, body, timeoutMs);
+      }
+      try {
+        const connection = await findSpare(hostId);
+        return await connection.request(kind, body, timeoutMs);
+      } catch (error) {
+        return err({ kind: 'not-sent', detail: describeError(error) });
+      }
+    },
+    sendHeartbeats() {
+      for (const link of links.values()) link.wake();
+    },
+    listLinks: () =>
+      [...links.values()].map(({ hostId, machine, lastHeartbeat, lastHeardAt }) => ({
+        hostId,
+        state: machine.current(),
+        lastHeartbeat,
+        lastHeardAt,
+      })),
+    countBytes: () =>
+      [...links.values()].reduce(
+        (sum, { connection }) => sum + (connection?.countBytes() ?? 0),
+        closedBytes,
+      ),
+    reloadKeys: () => listener.reloadKeys(),
+    async close() {
+      for (const link of links.values()) {
+        const stopped = link.stop();
+        link.connection?.destroy();
+        await stopped;
+      }
+      links.clear();
+      for (const spare of spares.values()) {
+        spare.then(
+          (connection) => connection.destroy(),
+          () => undefined,
+        );
+      }
+      await listener.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/peers/src/lib/messages.ts
@@ -0,0 +1,80 @@
+import {
+  backendServerIdSchema,
+  hostIdSchema,
+  poolIdSchema,
+  processIdSchema,
+  rankIdSchema,
+  workspaceIdSchema,
+} from '@endiveferry/base';
+import { z } from 'zod';
+
+/** What one host may ask of another. @public */
+export type PeerRequestKind =
+  | 'hello'
+  | 'heartbeat'
+  | 'read-configuration'
+  | 'read-host-list'
+  | 'forward-request'
+  | 'take-over-keys';
+
+const requestKindSchema = z.enum([
+  'hello',
+  'heartbeat',
+  'read-configuration',
+  'read-host-list',
+  'forward-request',
+  'take-over-keys',
+]) satisfies z.ZodType<PeerRequestKind>;
+
+/** Validator of one message on a connection between hosts. @internal */
+export const peerMessageSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('request'),
+    id: z.int(),
+    kind: requestKindSchema,
+    body: z.unknown(),
+  }),
+  z.object({ type: z.literal('reply'), id: z.int(), body: z.unknown() }),
+  z.object({ type: z.literal('refusal'), id: z.int(), detail: z.string() }),
+]);
+
+/** One message on a connection between hosts. @internal */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+
+/** Version of the messages; hosts of different versions refuse each other. @internal */
+export const PROTOCOL_VERSION = 1;
+
+/** Validator of the first message on a connection. @internal */
+export const helloSchema = z.object({
+  version: z.literal(PROTOCOL_VERSION),
+  hostId: hostIdSchema,
+  processId: processIdSchema,
+});
+
+/** Validator of a heartbeat. @public */
+export const heartbeatSchema = z.object({
+  processId: processIdSchema,
+  isDraining: z.boolean(),
+  configurationRevision: z.int(),
+  hostListRevision: z.int(),
+  /** Wall-clock time at which the platform confirmed the list, in milliseconds since 1970. */
+  hostListAsOf: z.number(),
+  /** Stopped processes whose issued keys this host has taken over. */
+  takenOverProcesses: z.array(processIdSchema),
+  /** Backend servers that this host itself has seen to be leaving. */
+  leavingServers: z.array(backendServerIdSchema),
+  demand: z.object({
+    pools: z.array(
+      z.object({
+        poolId: poolIdSchema,
+        slots: z.array(
+          z.object({ rankId: rankIdSchema, workspaceId: workspaceIdSchema, slots: z.number() }),
+        ),
+      }),
+    ),
+    workspaces: z.array(z.object({ workspaceId: workspaceIdSchema, rate: z.number() })),
+  }),
+});
+
+/** What hosts tell each other all the time. @public */
+export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- /dev/null
+++ b/packages/pipeline/src/index.ts
@@ -0,0 +1,13 @@
+/** A request's way through its stages, under one deadline, to one answer and one verdict. */
+export {
+  createPipelineRunner,
+  type PipelineAnswer,
+  type PipelineRunner,
+} from './lib/createPipelineRunner.js';
+export {
+  createPoolSet,
+  type PoolRuntime,
+  type PoolSet,
+  type PoolSetOptions,
+} from './lib/createPoolSet.js';
+export type { ProgressEvent, RequestContext } from './lib/StageHandler.js';
--- /dev/null
+++ b/packages/pipeline/src/lib/createPipelineRunner.ts
@@ -0,0 +1,175 @@
+import {
+  createRefusal,
+  listEntries,
+  mergeExecution,
+  type Clock,
+  type Execution,
+  type Failure,
+  type StageId,
+} from '@endiveferry/base';
+import type { Stage } from '@endiveferry/settings';
+import type { Metrics } from '@endiveferry/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { PoolRuntime, PoolSet } from './createPoolSet.js';
+import { resolveInput } from './resolveInput.js';
+import { runStage } from './runStage.js';
+import { stageHandlers } from './stageHandlers.js';
+import type { RequestContext } from './StageHandler.js';
+
+/** When a refused caller should try again, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * The whole answer to a request.
+ *
+ * @public
+ */
+export interface PipelineAnswer {
+  /** The output of the last stage. */
+  readonly output: unknown;
+  /** Tokens generated. */
+  readonly tokens: number;
+}
+
+/**
+ * Takes requests through their pipelines.
+ *
+ * @public
+ */
+export interface PipelineRunner {
+  /** Runs a request to its end; it never throws. */
+  run(request: RequestContext): Promise<Result<PipelineAnswer, Failure>>;
+}
+
+/** One stage with what it needs and what it is expected to take. */
+interface PlannedStage {
+  readonly id: StageId;
+  readonly stage: Stage;
+  readonly pool: PoolRuntime;
+  readonly budgetMs: number;
+  readonly costMs: number;
+}
+
+/** The input is not known at the door; classes of work that depend on it use the stage alone. */
+function planStage(id: StageId, stage: Stage, pool: PoolRuntime): PlannedStage {
+  const workClass = stageHandlers[pool.settings().kind].getWorkClass(stage, {});
+  const { budgetMs, meanMs } = pool.estimator.estimate(workClass, stage.expectedServiceMs);
+  return { id, stage, pool, budgetMs, costMs: meanMs };
+}
+
+function planStages(
+  request: RequestContext,
+  pools: PoolSet,
+): Result<readonly PlannedStage[], Failure> {
+  const stages = listEntries(request.pipeline.stages).sort(([, a], [, b]) => a.order - b.order);
+  const planned: PlannedStage[] = [];
+  for (const [id, stage] of stages) {
+    const pool = pools.findPool(stage.pool);
+    if (pool === undefined) {
+      return err(createRefusal('no-backend-server', `pool ${stage.pool} is gone`));
+    }
+    planned.push(planStage(id, stage, pool));
+  }
+  return ok(planned);
+}
+
+function sumBudgets(stages: readonly PlannedStage[]): number {
+  return stages.reduce((sum, { budgetMs }) => sum + budgetMs, 0);
+}
+
+/** Refuses work that would miss its deadline anyway, before any of it costs. */
+function checkDeadline(
+  request: RequestContext,
+  stages: readonly PlannedStage[],
+  now: number,
+): Result<void, Failure> {
+  const waitMs = stages.reduce(
+    (sum, { pool }) => sum + pool.queue.estimateWait(request.rankId, request.workspaceId),
+    0,
+  );
+  const neededMs = waitMs + sumBudgets(stages);
+  const remainingMs = request.deadlineAt - now;
+  // Without work in progress nothing would correct an estimate that is too high.
+  const isIdle = stages.every(({ pool }) => pool.queue.running() + pool.queue.waiting() === 0);
+  request.recordEvent('door', { neededMs, waitMs, remainingMs });
+  if (neededMs <= remainingMs || (isIdle && remainingMs > 0)) return ok();
+  const detail = `needs about ${Math.round(neededMs)} ms and has ${Math.round(remainingMs)} ms`;
+  return err(createRefusal('deadline-unreachable', detail, RETRY_AFTER_MS));
+}
+
+function translateCancellation(request: RequestContext, failure: Failure, now: number): Failure {
+  if (failure.reason !== 'cancelled' || now < request.deadlineAt) return failure;
+  return { ...failure, reason: 'deadline-exceeded', detail: 'the deadline passed' };
+}
+
+/**
+ * Creates the runner of pipelines.
+ *
+ * @param options - the pools, the clock, and where cost is accounted
+ * @returns the runner
+ * @public
+ */
+export function createPipelineRunner(options: {
+  readonly pools: PoolSet;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}): PipelineRunner {
+  const { pools, clock, metrics } = options;
+
+  async function runStages(
+    request: RequestContext,
+    planned: readonly PlannedStage[],
+    arrivals: readonly (() => void)[],
+  ): Promise<Result<PipelineAnswer, Failure>> {
+    const outputs: Record<StageId, unknown> = {};
+    let execution: Execution = 'not-run';
+    let output: unknown;
+    let tokens = 0;
+    for (const [index, { id, stage, pool }] of planned.entries()) {
+      arrivals[index]?.();
+      const input = resolveInput(stage, { request: request.body, stages: outputs });
+      const latestStartAt = request.deadlineAt - sumBudgets(planned.slice(index));
+      const result = await runStage(
+        { request, stageId: id, stage, pool, input, latestStartAt },
+        metrics,
+      );
+      if (result.isErr()) {
+        const failure = translateCancellation(request, result.error, clock.now());
+        return err({ ...failure, execution: mergeExecution(execution, failure.execution) });
+      }
+      execution = 'ran';
+      output = result.value.output;
+      outputs[id] = output;
+      tokens += result.value.tokens;
+      request.onProgress?.({ type: 'stage', stageId: id });
+    }
+    return ok({ output, tokens });
+  }
+
+  return {
+    async run(callerRequest) {
+      const planned = planStages(callerRequest, pools);
+      if (planned.isErr()) return err(planned.error);
+      const allowed = checkDeadline(callerRequest, planned.value, clock.now());
+      if (allowed.isErr()) return err(allowed.error);
+      const deadline = new AbortController();
+      const cancelTimer = clock.schedule(callerRequest.deadlineAt - clock.now(), () =>
+        deadline.abort(),
+      );
+      const request = {
+        ...callerRequest,
+        signal: AbortSignal.any([callerRequest.signal, deadline.signal]),
+      };
+      const arrivals = planned.value.map(({ pool, costMs }) =>
+        pool.queue.announce(request.rankId, request.workspaceId, costMs),
+      );
+      try {
+        return await runStages(request, planned.value, arrivals);
+      } finally {
+        cancelTimer();
+        for (const withdraw of arrivals) withdraw();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,14 @@
+/** Which backend server gets a call, what is known of its health, and how the call is sent. */
+export type { ChoiceRequest } from './lib/chooseServer.js';
+export { chooseSubset } from './lib/chooseSubset.js';
+export {
+  createPoolRouter,
+  type PoolRouter,
+  type PoolRouterOptions,
+  type ServerLease,
+  type ServerStatus,
+} from './lib/createPoolRouter.js';
+export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
+export { createServerConnections, type ServerConnections } from './lib/createServerConnections.js';
+export { loadReportSchema, type LoadReport } from './lib/LoadReport.js';
+export { sendCall, type Call, type CallResult } from './lib/sendCall.js';
--- /dev/null
+++ b/packages/routing/src/lib/createPoolRouter.ts
@@ -0,0 +1,295 @@
+import {
+  listEntries,
+  waitFor,
+  type AvailabilityZoneId,
+  type BackendServerId,
+  type Clock,
+  type HostId,
+  type Random,
+  type Supervisor,
+} from '@endiveferry/base';
+import type { Pool } from '@endiveferry/settings';
+import type { Logger } from '@endiveferry/telemetry';
+
+import { chooseServer, type ChoiceRequest } from './chooseServer.js';
+import { chooseSubset } from './chooseSubset.js';
+import { createPrefixIndex } from './createPrefixIndex.js';
+import { createServerState, type ServerState } from './createServerState.js';
+import { loadReportSchema } from './LoadReport.js';
+import type { Call, CallResult } from './sendCall.js';
+
+/** Backend servers of one pool that a host talks to, on average. */
+const SUBSET_SIZE = 20;
+const REPORT_INTERVAL_MS = 500;
+const REPORT_TIMEOUT_MS = 1_000;
+/** Shortest time between two replacements of a server's connections. */
+const RENEWAL_INTERVAL_MS = 1_000;
+/** The largest part of a pool that may be ejected at a time. */
+const MAX_EJECTED_SHARE = 0.5;
+
+/**
+ * The use of one backend server for one call.
+ *
+ * @public
+ */
+export interface ServerLease {
+  readonly serverId: BackendServerId;
+  send(call: Call): Promise<CallResult>;
+  /** Ends the lease: the call was answered after `serviceMs` milliseconds. */
+  recordSuccess(serviceMs: number): void;
+  /** Ends the lease: the server failed. */
+  recordFailure(): void;
+  /** Ends the lease: the server had no room, or took far too long. */
+  recordOverload(): void;
+  /** Ends the lease without a word on the server: the call was cancelled or the caller's fault. */
+  end(): void;
+  /**
+   * Asks the server over a new connection whether it is alive, because the call is not answered.
+   * If it is, its connections are replaced, since the silent one may not be alone.
+   */
+  checkSilence(): Promise<void>;
+}
+
+/**
+ * What is known of one backend server, for operators.
+ *
+ * @public
+ */
+export interface ServerStatus {
+  readonly serverId: BackendServerId;
+  readonly health: string;
+  readonly isLeaving: boolean;
+  readonly running: number;
+  readonly load: number;
+  readonly latencyMs: number | undefined;
+}
+
+/**
+ * Chooses among a pool's backend servers and keeps what is known of them.
+ *
+ * @public
+ */
+export interface PoolRouter {
+  /** Takes over new settings or a new list of hosts; running calls go on. */
+  update(pool: Pool, hosts: readonly HostId[]): void;
+  /** Marks servers that the platform's list, or another host, says are leaving. */
+  setLeaving(serverIds: ReadonlySet<BackendServerId>): void;
+  /** Chooses a server for a call; undefined when none may be used. */
+  reserve(request: ChoiceRequest): ServerLease | undefined;
+  /** Calls that the whole pool can run at once, over all hosts. */
+  readonly capacity: () => number;
+  readonly listStatus: () => readonly ServerStatus[];
+  /** Servers that said themselves that they leave. */
+  readonly listReportedLeaving: () => readonly BackendServerId[];
+  close(): Promise<void>;
+}
+
+/**
+ * Options of a pool router.
+ *
+ * @public
+ */
+export interface PoolRouterOptions {
+  readonly pool: Pool;
+  readonly hostId: HostId;
+  readonly hosts: readonly HostId[];
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Runs the task of each backend server. */
+  readonly supervisor: Supervisor;
+}
+
+/**
+ * Creates the router of one pool and starts a task for each backend server that reads its load.
+ *
+ * @param options - see {@link PoolRouterOptions}
+ * @returns the router
+ * @public
+ */
+export function createPoolRouter(options: PoolRouterOptions): PoolRouter {
+  const { hostId, clock, random, logger, availabilityZone, supervisor } = options;
+  const servers = new Map<BackendServerId, { state: ServerState; stop: () => Promise<void> }>();
+  const prefixIndex = createPrefixIndex();
+  let pool = options.pool;
+  let listedLeaving: ReadonlySet<BackendServerId> = new Set();
+
+  const listStates = () => [...servers.values()].map(({ state }) => state);
+
+  function canEject(): boolean {
+    const states = listStates();
+    const ejected = states.filter((state) => state.health.state() === 'ejected').length;
+    return ejected + 1 <= states.length * MAX_EJECTED_SHARE;
+  }
+
+  async function readReport(state: ServerState, stopSignal: AbortSignal): Promise<void> {
+    const result = await state.connections.send({
+      method: 'GET',
+      path: '/v1/load',
+      signal: AbortSignal.any([stopSignal, AbortSignal.timeout(REPORT_TIMEOUT_MS)]),
+    });
+    if (stopSignal.aborted) return;
+    if (result.kind === 'answered') {
+      applyReport(state, result.body);
+    } else if (result.kind === 'unknown') {
+      await checkSilence(state);
+    } else {
+      state.health.recordFailure(canEject());
+    }
+  }
+
+  function applyReport(state: ServerState, body: Buffer): void {
+    const report = loadReportSchema.safeParse(parseJson(body));
+    if (!report.success) return;
+    state.recordReport(report.data);
+    if (report.data.cache !== undefined) prefixIndex.applyEvents(state.id, report.data.cache);
+  }
+
+  const renewedAt = new Map<BackendServerId, number>();
+
+  async function checkSilence(state: ServerState): Promise<void> {
+    const lastAt = renewedAt.get(state.id) ?? -Infinity;
+    if (clock.now() - lastAt < RENEWAL_INTERVAL_MS) return;
+    renewedAt.set(state.id, clock.now());
+    const answer = await state.connections.probe();
+    if (answer === undefined) {
+      state.health.recordFailure(canEject());
+      return;
+    }
+    logger.info('a call is not answered by a live backend server; replacing its connections', {
+      backendServer: state.id,
+    });
+    state.connections.renew();
+  }
+
+  async function watchServer(state: ServerState, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await readReport(state, signal);
+      await waitFor(clock, REPORT_INTERVAL_MS * (0.75 + random.nextFraction() / 2), signal);
+    }
+  }
+
+  function addServer(serverId: BackendServerId, settings: Pool['backendServers'][BackendServerId]) {
+    const state = createServerState({
+      id: serverId,
+      settings,
+      clock,
+      random,
+      findServerConcurrency: () => pool.serverConcurrency,
+      onHealthChange: (health) =>
+        logger.warn('health of a backend server changed', { backendServer: serverId, health }),
+    });
+    const stop = supervisor.spawn(`server-${serverId}`, (signal) => watchServer(state, signal));
+    servers.set(serverId, { state, stop });
+  }
+
+  async function removeServer(serverId: BackendServerId): Promise<void> {
+    const server = servers.get(serverId);
+    servers.delete(serverId);
+    prefixIndex.forgetServer(serverId);
+    renewedAt.delete(serverId);
+    await server?.stop();
+    await server?.state.connections.close();
+  }
+
+  function applySettings(hosts: readonly HostId[]): void {
+    const ids = listEntries(pool.backendServers).map(([id]) => id);
+    const subset = new Set(chooseSubset(hostId, hosts, ids, SUBSET_SIZE));
+    for (const [serverId, { state }] of servers) {
+      const next = pool.backendServers[serverId];
+      const isSame = next?.address === state.settings.address;
+      if (!subset.has(serverId) || !isSame) void removeServer(serverId);
+    }
+    for (const [serverId, settings] of listEntries(pool.backendServers)) {
+      if (!subset.has(serverId)) continue;
+      const known = servers.get(serverId);
+      if (known === undefined) addServer(serverId, settings);
+      else known.state.settings = settings;
+    }
+    applyLeaving();
+  }
+
+  function applyLeaving(): void {
+    for (const state of listStates()) state.setLeaving('list', listedLeaving.has(state.id));
+  }
+
+  function createLease(state: ServerState): ServerLease {
+    state.startCall();
+    let isEnded = false;
+    const end = (record?: () => void) => {
+      if (isEnded) return;
+      isEnded = true;
+      state.endCall();
+      record?.();
+    };
+    return {
+      serverId: state.id,
+      send: (call) => state.connections.send(call),
+      recordSuccess: (serviceMs) =>
+        end(() => {
+          state.recordLatency(serviceMs);
+          state.health.recordSuccess();
+        }),
+      recordFailure: () => end(() => state.health.recordFailure(canEject())),
+      recordOverload: () => end(() => state.recordOverload()),
+      end: () => end(),
+      checkSilence: () => checkSilence(state),
+    };
+  }
+
+  applySettings(options.hosts);
+
+  return {
+    update(nextPool, hosts) {
+      pool = nextPool;
+      applySettings(hosts);
+    },
+    setLeaving(serverIds) {
+      listedLeaving = serverIds;
+      applyLeaving();
+    },
+    reserve(request) {
+      const state = chooseServer(request, {
+        servers: listStates(),
+        availabilityZone,
+        prefixIndex,
+        random,
+      });
+      if (state === undefined) return undefined;
+      prefixIndex.recordSent(state.id, request.prefixes);
+      return createLease(state);
+    },
+    capacity() {
+      const states = listStates();
+      const usable = states.filter((state) => !state.isLeaving());
+      const known = usable.reduce((sum, state) => sum + state.capacity(), 0);
+      const total = Object.keys(pool.backendServers).length;
+      return states.length === 0 ? 0 : (known * total) / states.length;
+    },
+    listStatus: () =>
+      listStates().map((state) => ({
+        serverId: state.id,
+        health: state.health.state(),
+        isLeaving: state.isLeaving(),
+        running: state.running(),
+        load: state.load(),
+        latencyMs: state.latencyMs(),
+      })),
+    listReportedLeaving: () =>
+      listStates()
+        .filter((state) => state.isLeaving() && !listedLeaving.has(state.id))
+        .map((state) => state.id),
+    async close() {
+      await Promise.all([...servers.keys()].map((serverId) => removeServer(serverId)));
+    },
+  };
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/createPrefixIndex.ts
@@ -0,0 +1,100 @@
+import { computeHash, type BackendServerId } from '@endiveferry/base';
+
+import type { LoadReport } from './LoadReport.js';
+
+/** Characters in one block of a prompt; engines cache whole blocks. */
+const BLOCK_LENGTH = 256;
+/** Blocks of a prompt that are looked at. */
+const MAX_BLOCKS = 16;
+/** Prefixes remembered for one backend server; the oldest are forgotten first. */
+const MAX_PREFIXES = 4_096;
+
+/**
+ * Names the prefixes of a prompt, block by block; each name stands for all blocks up to it.
+ *
+ * @param prompt - the prompt
+ * @returns the names, shortest prefix first; none when the prompt is shorter than a block
+ * @public
+ */
+export function computePrefixes(prompt: string): readonly string[] {
+  const blocks = Math.min(MAX_BLOCKS, Math.floor(prompt.length / BLOCK_LENGTH));
+  const prefixes: string[] = [];
+  let seed = 0;
+  for (let block = 0; block < blocks; block += 1) {
+    seed = computeHash(prompt.slice(block * BLOCK_LENGTH, (block + 1) * BLOCK_LENGTH), seed);
+    prefixes.push(seed.toString(16));
+  }
+  return prefixes;
+}
+
+/**
+ * Which backend server is thought to hold which prefixes.
+ *
+ * @public
+ */
+export interface PrefixIndex {
+  /** Applies reported events; after a gap what was known of the server is forgotten. */
+  applyEvents(serverId: BackendServerId, cache: NonNullable<LoadReport['cache']>): void;
+  /** Notes that a prompt was sent to a server, whose event will come late. */
+  recordSent(serverId: BackendServerId, prefixes: readonly string[]): void;
+  /** Finds the share of a prompt's blocks that a server is thought to hold, from 0 to 1. */
+  findHitShare(serverId: BackendServerId, prefixes: readonly string[]): number;
+  /** Finds the servers that are thought to hold the longest part of a prompt. */
+  findHolders(prefixes: readonly string[]): readonly BackendServerId[];
+  forgetServer(serverId: BackendServerId): void;
+}
+
+/**
+ * Creates an empty index. Its knowledge is a hint: a wrong one costs a cache miss, nothing more.
+ *
+ * @returns the index
+ * @public
+ */
+export function createPrefixIndex(): PrefixIndex {
+  const servers = new Map<BackendServerId, { prefixes: Set<string>; nextSequence: number }>();
+
+  function findServer(serverId: BackendServerId) {
+    const server = servers.get(serverId) ?? { prefixes: new Set<string>(), nextSequence: 0 };
+    servers.set(serverId, server);
+    return server;
+  }
+
+  function addPrefix(prefixes: Set<string>, prefix: string): void {
+    prefixes.delete(prefix);
+    prefixes.add(prefix);
+    const [oldest] = prefixes;
+    if (prefixes.size > MAX_PREFIXES && oldest !== undefined) prefixes.delete(oldest);
+  }
+
+  function countHits(serverId: BackendServerId, prefixes: readonly string[]): number {
+    const known = servers.get(serverId)?.prefixes;
+    if (known === undefined) return 0;
+    const firstMiss = prefixes.findIndex((prefix) => !known.has(prefix));
+    return firstMiss === -1 ? prefixes.length : firstMiss;
+  }
+
+  return {
+    applyEvents(serverId, { firstSequence, events }) {
+      const server = findServer(serverId);
+      if (firstSequence > server.nextSequence) server.prefixes.clear();
+      const alreadySeen = Math.max(0, server.nextSequence - firstSequence);
+      for (const { prefix, isCached } of events.slice(alreadySeen)) {
+        if (isCached) addPrefix(server.prefixes, prefix);
+        else server.prefixes.delete(prefix);
+      }
+      server.nextSequence = Math.max(server.nextSequence, firstSequence + events.length);
+    },
+    recordSent(serverId, prefixes) {
+      const server = findServer(serverId);
+      for (const prefix of prefixes) addPrefix(server.prefixes, prefix);
+    },
+    findHitShare: (serverId, prefixes) =>
+      prefixes.length === 0 ? 0 : countHits(serverId, prefixes) / prefixes.length,
+    findHolders(prefixes) {
+      const hits = [...servers.keys()].map((id) => ({ id, count: countHits(id, prefixes) }));
+      const best = Math.max(0, ...hits.map(({ count }) => count));
+      return best === 0 ? [] : hits.filter(({ count }) => count === best).map(({ id }) => id);
+    },
+    forgetServer: (serverId) => servers.delete(serverId),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/sendCall.ts
@@ -0,0 +1,146 @@
+import { describeError, type FailureReason } from '@endiveferry/base';
+import { errors, type Dispatcher } from 'undici';
+
+/** Longest answer that is kept in memory, in bytes. */
+const MAX_ANSWER_BYTES = 16_000_000;
+
+/**
+ * One HTTP call to a backend server.
+ *
+ * @public
+ */
+export interface Call {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: unknown;
+  /** Opens a connection of its own, so that no half-open one can swallow the call. */
+  readonly usesOwnConnection?: boolean;
+  /** Aborts the call. */
+  readonly signal?: AbortSignal;
+  /** Asked right before the call is written; `false` keeps it from being written. */
+  readonly maySend?: (() => boolean) | undefined;
+  /** Called with each piece of the answer's body, when the answer is to be streamed. */
+  readonly onData?: (chunk: Buffer) => void;
+}
+
+/**
+ * How a call ended.
+ *
+ * - `answered`: the whole answer arrived, whatever its status.
+ * - `not-sent`: nothing of the call was ever handed to a socket.
+ * - `unknown`: it was handed over and no whole answer came.
+ *
+ * @public
+ */
+export type CallResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
+  | { readonly kind: 'unknown'; readonly reason: FailureReason; readonly detail: string };
+
+/** A call that this module ended itself, and why. */
+class CallAbortedError extends Error {
+  constructor(
+    readonly reason: FailureReason,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+function createHandler(call: Call, finish: (result: CallResult) => void) {
+  const chunks: Buffer[] = [];
+  let wasSent = false;
+  let status = 0;
+  let headers: Record<string, string | string[] | undefined> = {};
+  let size = 0;
+  let abortRequest: ((reason: Error) => void) | undefined;
+  const onAbort = () => abortRequest?.(new CallAbortedError('cancelled', 'the call was aborted'));
+  const end = (result: CallResult) => {
+    call.signal?.removeEventListener('abort', onAbort);
+    finish(result);
+  };
+  call.signal?.addEventListener('abort', onAbort, { once: true });
+
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart(controller) {
+      abortRequest = (reason) => controller.abort(reason);
+      // A second start would be a second write; the call was already handed over once.
+      if (wasSent) {
+        controller.abort(new CallAbortedError('internal', 'the call would have been sent twice'));
+        return;
+      }
+      // An abort before this point means that nothing was written.
+      if (call.signal?.aborted === true) onAbort();
+      else if (call.maySend?.() === false) {
+        const detail = 'this host may no longer run the call';
+        controller.abort(new CallAbortedError('key-unproven', detail));
+      } else wasSent = true;
+    },
+    onResponseStart(_controller, statusCode, responseHeaders) {
+      status = statusCode;
+      headers = responseHeaders;
+    },
+    onResponseData(controller, chunk) {
+      size += chunk.length;
+      if (size > MAX_ANSWER_BYTES) {
+        controller.abort(new Error(`the answer is longer than ${MAX_ANSWER_BYTES} bytes`));
+      } else if (call.onData === undefined || status !== 200) {
+        chunks.push(chunk);
+      } else {
+        call.onData(chunk);
+      }
+    },
+    onResponseEnd() {
+      end({ kind: 'answered', status, headers, body: Buffer.concat(chunks) });
+    },
+    onResponseError(_controller, error) {
+      const abortReason = error instanceof CallAbortedError ? error.reason : undefined;
+      const detail = describeError(error);
+      if (wasSent) end({ kind: 'unknown', reason: abortReason ?? 'connection-lost', detail });
+      else end({ kind: 'not-sent', reason: abortReason ?? 'connect-failed', detail });
+    },
+  };
+  return handler;
+}
+
+/**
+ * Sends one call and waits for its end. It never throws and never sends twice.
+ *
+ * @param dispatcher - the connections to the backend server
+ * @param call - the call
+ * @returns how it ended
+ * @public
+ */
+export function sendCall(dispatcher: Dispatcher, call: Call): Promise<CallResult> {
+  return new Promise((resolve) => {
+    if (call.signal?.aborted === true) {
+      resolve({ kind: 'not-sent', reason: 'cancelled', detail: 'aborted before it was sent' });
+      return;
+    }
+    const headers: Record<string, string> = { ...call.headers };
+    if (call.body !== undefined) headers['content-type'] = 'application/json';
+    try {
+      dispatcher.dispatch(
+        {
+          method: call.method,
+          path: call.path,
+          headers,
+          body: call.body === undefined ? null : JSON.stringify(call.body),
+          idempotent: false,
+          reset: call.usesOwnConnection === true,
+        },
+        createHandler(call, resolve),
+      );
+    } catch (error) {
+      // Dispatching to a closed pool throws before anything is queued.
+      const reason = error instanceof errors.InvalidArgumentError ? 'internal' : 'connect-failed';
+      resolve({ kind: 'not-sent', reason, detail: describeError(error) });
+    }
+  });
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,26 @@
+/** The daemon's settings, the configuration that operators write, and their checks. */
+export { checkConfiguration, readConfiguration } from './lib/checkConfiguration.js';
+export {
+  configurationSchema,
+  poolKindSchema,
+  type BackendServer,
+  type Configuration,
+  type Host,
+  type InputField,
+  type Limits,
+  type Pipeline,
+  type Pool,
+  type PoolKind,
+  type Rank,
+  type Stage,
+  type Workspace,
+} from './lib/configuration.js';
+export { formatFault, formatPath, type Fault } from './lib/Fault.js';
+export { isLoopback, parseAddress } from './lib/fields.js';
+export {
+  processSettingsSchema,
+  type ProcessSettings,
+  type TlsSettings,
+} from './lib/processSettings.js';
+export { mergeFiles, readFolder, type MergedFolder, type SourceFile } from './lib/readFolder.js';
+export { readProcessSettings } from './lib/readProcessSettings.js';
--- /dev/null
+++ b/packages/settings/src/lib/readFolder.ts
@@ -0,0 +1,107 @@
+import { readFile, readdir } from 'node:fs/promises';
+import { join } from 'node:path';
+
+import { describeError } from '@endiveferry/base';
+import mergePatch from 'json-merge-patch';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { Fault } from './Fault.js';
+
+/**
+ * One file of a configuration folder.
+ *
+ * @public
+ */
+export interface SourceFile {
+  readonly name: string;
+  readonly document: unknown;
+}
+
+/**
+ * A folder's files and the one document that they make.
+ *
+ * @public
+ */
+export interface MergedFolder {
+  /** In the order in which they were merged. */
+  readonly files: readonly SourceFile[];
+  readonly document: unknown;
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+async function readSourceFile(folder: string, name: string): Promise<Result<SourceFile, Fault>> {
+  try {
+    const document: unknown = JSON.parse(await readFile(join(folder, name), 'utf8'));
+    if (isObject(document)) return ok({ name, document });
+    return err({ file: name, path: '$', reason: 'must be a JSON object' });
+  } catch (error) {
+    return err({ file: name, path: '$', reason: describeError(error) });
+  }
+}
+
+/**
+ * Merges files in the order given, by JSON Merge Patch (RFC 7396).
+ *
+ * @param files - the files
+ * @returns the merged document
+ * @public
+ */
+export function mergeFiles(files: readonly SourceFile[]): unknown {
+  // The library changes its target in place, so each patch is copied first.
+  return files.reduce<unknown>(
+    (target, file) => mergePatch.apply(target, structuredClone(file.document)),
+    {},
+  );
+}
+
+/**
+ * Reads the `.json` files of a configuration folder and merges them in byte order of their names.
+ *
+ * @param folder - path of the folder
+ * @returns the merged folder, or every file that cannot be read
+ * @public
+ */
+export async function readFolder(folder: string): Promise<Result<MergedFolder, readonly Fault[]>> {
+  let names: string[];
+  try {
+    names = (await readdir(folder)).filter((name) => name.endsWith('.json'));
+  } catch (error) {
+    return err([{ file: folder, path: '$', reason: describeError(error) }]);
+  }
+  if (names.length === 0) return err([{ file: folder, path: '$', reason: 'holds no .json file' }]);
+  names.sort((a, b) => Buffer.compare(Buffer.from(a), Buffer.from(b)));
+  const results = await Promise.all(names.map((name) => readSourceFile(folder, name)));
+  const faults = results.flatMap((result) => (result.isErr() ? [result.error] : []));
+  if (faults.length > 0) return err(faults);
+  const files = results.flatMap((result) => (result.isOk() ? [result.value] : []));
+  return ok({ files, document: mergeFiles(files) });
+}
+
+/**
+ * Finds the file to mend for a value of the merged document: the last one that set it, or else the
+ * last one that set the nearest value above it.
+ *
+ * @param files - the files in merge order
+ * @param keys - the value's keys from the root down
+ * @returns the file's name, or `-` when there is no file
+ * @internal
+ */
+export function findSource(files: readonly SourceFile[], keys: readonly PropertyKey[]): string {
+  for (let depth = keys.length; depth >= 0; depth -= 1) {
+    const setting = files.findLast((file) => hasPath(file.document, keys.slice(0, depth)));
+    if (setting !== undefined) return setting.name;
+  }
+  return '-';
+}
+
+function hasPath(document: unknown, keys: readonly PropertyKey[]): boolean {
+  let value = document;
+  for (const key of keys) {
+    if (typeof value !== 'object' || value === null || !Object.hasOwn(value, key)) return false;
+    value = (value as Record<PropertyKey, unknown>)[key];
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,24 @@
+/** Logs, metrics, and the record behind `endiveferry explain`. */
+export { createLatencyHistogram, type LatencyHistogram } from './lib/createLatencyHistogram.js';
+export {
+  createLogger,
+  setLogWriter,
+  type LogContext,
+  type Logger,
+  type LogLevel,
+} from './lib/createLogger.js';
+export {
+  createMetrics,
+  type GaugeValue,
+  type Metrics,
+  type RequestOutcome,
+  type StageCost,
+  type WasteCause,
+} from './lib/createMetrics.js';
+export {
+  createTraceStore,
+  type RecordEvent,
+  type Trace,
+  type TraceEvent,
+  type TraceStore,
+} from './lib/createTraceStore.js';
--- /dev/null
+++ b/tools/run-tests.mjs
@@ -0,0 +1,44 @@
+// Runs every compiled test. Tests listed in KNOWN-RED.txt may fail; their names are printed.
+import { existsSync, readFileSync, readdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { run } from 'node:test';
+import { spec } from 'node:test/reporters';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+
+function findTests(folder) {
+  return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) return entry.name === 'node_modules' ? [] : findTests(path);
+    return entry.name.endsWith('.test.js') ? [path] : [];
+  });
+}
+
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return new Set(
+    lines.flatMap((line) => (line.startsWith('test: ') ? [line.slice(6).trim()] : [])),
+  );
+}
+
+const knownRed = readKnownRed();
+const files = ['packages', 'apps']
+  .flatMap((folder) => readdirSync(folder).map((name) => join(folder, name, 'dist')))
+  .filter((folder) => existsSync(folder))
+  .flatMap(findTests);
+const stream = run({ files: files.map((file) => join(process.cwd(), file)), concurrency: 4 });
+let failed = 0;
+const excused = [];
+stream.on('test:fail', ({ name, details }) => {
+  // A file fails because a test in it does; only the test itself counts.
+  if (details.type === 'suite' || name.endsWith('.test.js')) {
+    if (details.error?.failureType !== 'subtestsFailed') failed += 1;
+  } else if (knownRed.has(name)) excused.push(name);
+  else failed += 1;
+});
+stream.on('end', () => {
+  for (const name of excused) console.log(`known red, passed over: ${name}`);
+  process.exitCode = failed > 0 ? 1 : 0;
+});
+stream.compose(new spec()).pipe(process.stdout);
