Add experiments of overload, faults and affinity beside a plain gateway

Cause: decisions are to be measured, and nothing measured them. Change: an open-loop load generator, a ledger-checked summary, a plain gateway (round robin, first come first served, fixed retries) and eight scenarios with their stated bounds.

--- a/apps/bench/src/lib/createFleet.ts
+++ b/apps/bench/src/lib/createFleet.ts
@@ -60,6 +60,8 @@
   readonly operatorsAddress?: string;
   readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
   readonly readinessGraceMs?: number;
+  /** Time between two tokens of a stand-in engine, in milliseconds. */
+  readonly tokenIntervalMs?: number;
 }
 
 async function loadSource(source: string | Configuration): Promise<Configuration> {
@@ -94,7 +96,7 @@
 export async function createFleet(options: FleetOptions): Promise<Fleet> {
   const random = createRandom(options.seed);
   const source = await loadSource(options.source);
-  const standIns = await startStandIns(source, random);
+  const standIns = await startStandIns(source, random, options.tokenIntervalMs);
   const platform = await startPlatformStandIn();
   let configuration = standIns.configuration;
   // Ports differ from run to run, so that two runs at once do not meet.
--- /dev/null
+++ b/apps/bench/src/lib/runBench.ts
@@ -0,0 +1,93 @@
+import { parseArgs } from 'node:util';
+
+import { setLogWriter } from '@endiveferry/telemetry';
+
+import { runScenario, type SideResult } from './runScenario.js';
+import { createAffinityScenario } from './scenarios/affinity.js';
+import { deadServer, silent, slowStage } from './scenarios/faults.js';
+import { floodLow, floodUrgent, largeCaller, surge } from './scenarios/overload.js';
+import type { Scenario } from './scenarios/Scenario.js';
+import { writeReport } from './writeReport.js';
+
+const EXIT_USAGE = 2;
+const DEFAULT_SEED = 1;
+
+/** Runs one experiment; the result is printed as it is. */
+type RunExperiment = (seed: number, reportFolder: string | undefined) => Promise<object>;
+
+const fixed = (scenario: Scenario) => () => scenario;
+
+/** Leaves out what only plots need. */
+const omitTimeline = (key: string, value: unknown) => (key === 'timeline' ? undefined : value);
+
+const createExperiment =
+  (createScenario: () => Scenario): RunExperiment =>
+  async (seed, reportFolder) => {
+    const { name } = createScenario();
+    const { product, baseline } = await runScenario(createScenario, seed);
+    if (reportFolder !== undefined) await writeReport(reportFolder, name, { product, baseline });
+    return { scenario: name, seed, product, baseline };
+  };
+
+const experiments: Readonly<Record<string, RunExperiment>> = {
+  surge: createExperiment(fixed(surge)),
+  'flood-low': createExperiment(fixed(floodLow)),
+  'flood-urgent': createExperiment(fixed(floodUrgent)),
+  'large-caller': createExperiment(fixed(largeCaller)),
+  'slow-stage': createExperiment(fixed(slowStage)),
+  'dead-server': createExperiment(fixed(deadServer)),
+  silent: createExperiment(fixed(silent)),
+  affinity: createExperiment(createAffinityScenario),
+};
+
+function printTargets(name: string, side: SideResult): void {
+  for (const target of side.targets) {
+    const relation = target.direction === 'at-least' ? '>=' : '<=';
+    const mark = target.isMet ? 'met   ' : 'MISSED';
+    process.stdout.write(
+      `${mark} ${name} ${target.name}: ${target.value.toFixed(3)} (${relation} ${target.bound})\n`,
+    );
+  }
+  const { lost, doubled, falseNotRun } = side;
+  process.stdout.write(
+    `       ${name} lost ${lost}, doubled ${doubled}, false not-run ${falseNotRun}\n`,
+  );
+}
+
+function isCompared(result: object): result is { product: SideResult; baseline: SideResult } {
+  return 'baseline' in result && 'product' in result && 'targets' in (result.product as object);
+}
+
+/**
+ * Runs one experiment and prints its result; the last line is one JSON object.
+ *
+ * @param args - the command-line arguments
+ * @public
+ */
+export async function runBench(args: readonly string[]): Promise<void> {
+  const { values, positionals } = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {
+      json: { type: 'boolean', default: false },
+      seed: { type: 'string', default: String(DEFAULT_SEED) },
+      report: { type: 'string' },
+    },
+  });
+  const [name = ''] = positionals;
+  const experiment = Object.hasOwn(experiments, name) ? experiments[name] : undefined;
+  if (experiment === undefined) {
+    process.stderr.write(`usage: npm run bench -- SCENARIO [--json] [--seed N] [--report DIR]\n`);
+    process.stderr.write(`SCENARIO is one of ${Object.keys(experiments).join(', ')}\n`);
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  setLogWriter(() => undefined);
+  const result = await experiment(Number(values.seed), values.report);
+  if (!values.json && isCompared(result)) {
+    printTargets('product ', result.product);
+    printTargets('baseline', result.baseline);
+  }
+  process.stdout.write(`${JSON.stringify(result, omitTimeline)}\n`);
+  process.exit(0);
+}
--- a/apps/bench/src/lib/standins/createEngineKind.ts
+++ b/apps/bench/src/lib/standins/createEngineKind.ts
@@ -6,7 +6,8 @@
 /** Reading a prompt takes this long for each block that is not cached, in milliseconds. */
 const PREFILL_MS_PER_BLOCK = 8;
 const PREFILL_BASE_MS = 10;
-const TOKEN_INTERVAL_MS = 8;
+/** Time between two tokens, unless a run asks for another, in milliseconds. */
+export const DEFAULT_TOKEN_INTERVAL_MS = 8;
 /** Prompt prefixes that an engine's memory holds. */
 const CACHE_SIZE = 64;
 /** Events kept for readers; older ones are lost, which readers see as a gap. */
@@ -111,6 +112,7 @@
  * @param _random - unused; engines draw nothing
  * @param counts - where cache hits are counted
  * @param models - the models that it has loaded
+ * @param tokenIntervalMs - time between two tokens, in milliseconds
  * @returns the kind
  * @internal
  */
@@ -118,6 +120,7 @@
   _random: Random,
   counts: CacheCounts,
   models: readonly string[],
+  tokenIntervalMs: number,
 ): StandInKind {
   const cache = createPromptCache(counts);
   const cancelled = new Set<string>();
@@ -133,7 +136,7 @@
     for (let offset = body.startOffset; offset < body.maxTokens; offset += 1) {
       if (call.signal.aborted || cancelled.delete(body.requestId)) return;
       sendChunk(call, body, offset);
-      await wait(TOKEN_INTERVAL_MS);
+      await wait(tokenIntervalMs);
     }
     call.response.end('data: [DONE]\n\n');
   }
--- a/apps/bench/src/lib/standins/startStandIns.ts
+++ b/apps/bench/src/lib/standins/startStandIns.ts
@@ -1,7 +1,11 @@
 import { listEntries, type BackendServerId, type PoolId, type Random } from '@endiveferry/base';
 import type { Configuration, PoolKind } from '@endiveferry/settings';
 
-import { createEngineKind, type CacheCounts } from './createEngineKind.js';
+import {
+  createEngineKind,
+  DEFAULT_TOKEN_INTERVAL_MS,
+  type CacheCounts,
+} from './createEngineKind.js';
 import { createLedger, type Ledger } from './createLedger.js';
 import { startStandInServer, type StandInKind, type StandInServer } from './createStandInServer.js';
 import {
@@ -30,7 +34,12 @@
   close(): Promise<void>;
 }
 
-type CreateKind = (random: Random, counts: CacheCounts, models: readonly string[]) => StandInKind;
+type CreateKind = (
+  random: Random,
+  counts: CacheCounts,
+  models: readonly string[],
+  tokenIntervalMs: number,
+) => StandInKind;
 
 const kinds: Readonly<Record<PoolKind, CreateKind>> = {
   'model-engine': createEngineKind,
@@ -45,10 +54,15 @@
  *
  * @param source - the configuration
  * @param random - draws service times and faults
+ * @param tokenIntervalMs - time between two tokens of an engine, in milliseconds
  * @returns the stand-ins
  * @public
  */
-export async function startStandIns(source: Configuration, random: Random): Promise<StandIns> {
+export async function startStandIns(
+  source: Configuration,
+  random: Random,
+  tokenIntervalMs = DEFAULT_TOKEN_INTERVAL_MS,
+): Promise<StandIns> {
   const ledger = createLedger();
   const cacheCounts: CacheCounts = { lookups: 0, blocks: 0, hitBlocks: 0 };
   const servers = new Map<BackendServerId, StandInServer>();
@@ -63,7 +77,7 @@
         maxQueued: pool.serverConcurrency * QUEUE_FACTOR,
         ledger,
         random,
-        createKind: () => kinds[pool.kind](random, cacheCounts, settings.models),
+        createKind: () => kinds[pool.kind](random, cacheCounts, settings.models, tokenIntervalMs),
       });
       settings.address = server.address;
       servers.set(serverId, server);
--- a/apps/daemon/src/lib/buildStatus.ts
+++ b/apps/daemon/src/lib/buildStatus.ts
@@ -34,6 +34,8 @@
   readonly budget: number;
   /** Calls that the whole pool can run at once. */
   readonly capacity: number;
+  readonly firstTries: number;
+  readonly retries: number;
   readonly backendServers: readonly ServerStatus[];
 }
 
@@ -81,13 +83,14 @@
   };
 }
 
-function buildPoolStatus({ id, queue, router, findBudget }: PoolRuntime): PoolStatus {
+function buildPoolStatus({ id, queue, router, findBudget, retryBudget }: PoolRuntime): PoolStatus {
   return {
     poolId: id,
     running: queue.running(),
     waiting: queue.waiting(),
     budget: findBudget(),
     capacity: router.capacity(),
+    ...retryBudget.counts(),
     backendServers: router.listStatus(),
   };
 }
--- a/packages/admission/src/lib/createRetryBudget.ts
+++ b/packages/admission/src/lib/createRetryBudget.ts
@@ -12,6 +12,8 @@
   recordFirstTry(): void;
   /** Takes one retry out of the budget; false when there is none. */
   tryWithdraw(): boolean;
+  /** First tries and retries so far. */
+  readonly counts: () => { readonly firstTries: number; readonly retries: number };
 }
 
 /**
@@ -23,14 +25,19 @@
  */
 export function createRetryBudget(findShare: () => number): RetryBudget {
   let balance = MAX_SAVED_RETRIES;
+  let firstTries = 0;
+  let retries = 0;
   return {
     recordFirstTry() {
+      firstTries += 1;
       balance = Math.min(MAX_SAVED_RETRIES, balance + findShare());
     },
     tryWithdraw() {
       if (balance < 1) return false;
       balance -= 1;
+      retries += 1;
       return true;
     },
+    counts: () => ({ firstTries, retries }),
   };
 }
--- a/packages/pipeline/src/index.ts
+++ b/packages/pipeline/src/index.ts
@@ -10,4 +10,12 @@
   type PoolSet,
   type PoolSetOptions,
 } from './lib/createPoolSet.js';
-export type { ProgressEvent, RequestContext } from './lib/StageHandler.js';
+export { resolveInput, type InputSource } from './lib/resolveInput.js';
+export type {
+  AttemptContext,
+  AttemptResult,
+  ProgressEvent,
+  RequestContext,
+  StageHandler,
+} from './lib/StageHandler.js';
+export { stageHandlers } from './lib/stageHandlers.js';
--- a/packages/pipeline/src/lib/StageHandler.ts
+++ b/packages/pipeline/src/lib/StageHandler.ts
@@ -47,16 +47,25 @@
 }
 
 /**
- * One stage of one request.
+ * What a single try of a stage needs to know.
  *
  * @public
  */
-export interface StageRun {
+export interface AttemptContext {
   readonly request: RequestContext;
   readonly stageId: StageId;
   readonly stage: Stage;
-  readonly pool: PoolRuntime;
+  readonly pool: Pick<PoolRuntime, 'clock' | 'settings'>;
   readonly input: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * One stage of one request.
+ *
+ * @public
+ */
+export interface StageRun extends AttemptContext {
+  readonly pool: PoolRuntime;
   /** Monotonic time after which the rest of the pipeline cannot make the deadline. */
   readonly latestStartAt: number;
 }
@@ -91,7 +100,7 @@
   /** Names the prefixes of the prompt, where the kind has one. */
   readonly computePrefixes: (input: Readonly<Record<string, unknown>>) => readonly string[];
   /** Creates the function that tries the stage; tries of one stage share its state. */
-  readonly createAttempts: (run: StageRun) => RunAttempt;
+  readonly createAttempts: (run: AttemptContext) => RunAttempt;
 }
 
 /** How long a 429 asks to wait when it names no time. */
--- a/packages/pipeline/src/lib/createGenerationHandler.ts
+++ b/packages/pipeline/src/lib/createGenerationHandler.ts
@@ -8,7 +8,7 @@
   translateCallFailure,
   type AttemptResult,
   type StageHandler,
-  type StageRun,
+  type AttemptContext,
 } from './StageHandler.js';
 
 /** A stream that brings nothing for so long has lost its connection or its server. */
@@ -40,7 +40,7 @@
   }
 }
 
-function buildBody(run: StageRun, progress: GenerationProgress) {
+function buildBody(run: AttemptContext, progress: GenerationProgress) {
   const { stage, input, request } = run;
   return {
     ...input,
@@ -57,7 +57,7 @@
 }
 
 /** Takes chunks in order and once each, whichever try they come from. */
-function createChunkReader(run: StageRun, progress: GenerationProgress) {
+function createChunkReader(run: AttemptContext, progress: GenerationProgress) {
   const { request, stageId } = run;
   const expectedId = `${request.requestId}.${stageId}`;
   return (data: string): ChunkVerdict => {
@@ -102,7 +102,7 @@
 }
 
 async function runGeneration(
-  run: StageRun,
+  run: AttemptContext,
   progress: GenerationProgress,
   lease: ServerLease,
   signal: AbortSignal,
--- a/packages/pipeline/src/lib/createPipelineRunner.ts
+++ b/packages/pipeline/src/lib/createPipelineRunner.ts
@@ -98,8 +98,8 @@
   return err(createRefusal('deadline-unreachable', detail, RETRY_AFTER_MS));
 }
 
-function translateCancellation(request: RequestContext, failure: Failure, now: number): Failure {
-  if (failure.reason !== 'cancelled' || now < request.deadlineAt) return failure;
+function translateCancellation(caller: AbortSignal, failure: Failure): Failure {
+  if (failure.reason !== 'cancelled' || caller.aborted) return failure;
   return { ...failure, reason: 'deadline-exceeded', detail: 'the deadline passed' };
 }
 
@@ -135,8 +135,8 @@
         metrics,
       );
       if (result.isErr()) {
-        const failure = translateCancellation(request, result.error, clock.now());
-        return err({ ...failure, execution: mergeExecution(execution, failure.execution) });
+        const whole = mergeExecution(execution, result.error.execution);
+        return err({ ...result.error, execution: whole });
       }
       execution = 'ran';
       output = result.value.output;
@@ -165,7 +165,8 @@
         pool.queue.announce(request.rankId, request.workspaceId, costMs),
       );
       try {
-        return await runStages(request, planned.value, arrivals);
+        const result = await runStages(request, planned.value, arrivals);
+        return result.mapErr((failure) => translateCancellation(callerRequest.signal, failure));
       } finally {
         cancelTimer();
         for (const withdraw of arrivals) withdraw();
--- a/packages/pipeline/src/lib/createUnaryHandler.ts
+++ b/packages/pipeline/src/lib/createUnaryHandler.ts
@@ -6,7 +6,7 @@
   translateCallFailure,
   type AttemptResult,
   type StageHandler,
-  type StageRun,
+  type AttemptContext,
 } from './StageHandler.js';
 
 /** A non-idempotent call that has no end after this long is given up, with an unknown outcome. */
@@ -24,7 +24,7 @@
   readonly answerSchema: z.ZodType;
 }
 
-function parseAnswer(kind: UnaryKind, run: StageRun, body: Buffer): AttemptResult {
+function parseAnswer(kind: UnaryKind, run: AttemptContext, body: Buffer): AttemptResult {
   let document: unknown;
   try {
     document = JSON.parse(body.toString('utf8'));
@@ -37,7 +37,7 @@
   return createBadAnswer(`the answer of ${run.stage.pool} is wrong: ${issue?.message ?? ''}`);
 }
 
-function buildHeaders(run: StageRun): Record<string, string> {
+function buildHeaders(run: AttemptContext): Record<string, string> {
   const { request, stageId } = run;
   const headers: Record<string, string> = {
     'x-request-id': `${request.requestId}.${stageId}`,
