Give each host its own slots at backend servers

Cause: at 0.9 of capacity engines were busy 0.70 of the time while 37 calls ran for 32 slots: mean wait in an engine's queue 167 ms, 61 % of calls waited. Hosts with the same lagging reports met at the same servers (measured at the engines; ruled out: the queue, which gives the right shares in a simulation of it alone). Change: slots of a pool are laid out in a ring and shared by the demand that hosts exchange, smoothed over 1 s; a host prefers its own slots and trusts them over reports; the value of a cached prefix is measured instead of assumed; one spare call a host.

--- a/apps/bench/src/lib/createBaseline.ts
+++ b/apps/bench/src/lib/createBaseline.ts
@@ -91,6 +91,7 @@
       recordOverload: ignore,
       end: ignore,
       checkSilence: () => Promise.resolve(),
+      recordFirstToken: ignore,
     };
     result = await runAttempt(lease, context.request.signal);
     if (result.kind === 'done' || host.clock.now() > context.request.deadlineAt) return result;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,5 +1,6 @@
 /** Limits, queues, ranks, fair shares and shedding. */
 export { apportionSlots, type ApportionOptions } from './lib/apportionSlots.js';
+export { createDemandSmoother, type DemandSmoother } from './lib/createDemandSmoother.js';
 export { createFleetDemand, type FleetDemand, type HostDemand } from './lib/createFleetDemand.js';
 export { createRetryBudget, type RetryBudget } from './lib/createRetryBudget.js';
 export {
--- a/packages/admission/src/lib/apportionSlots.ts
+++ b/packages/admission/src/lib/apportionSlots.ts
@@ -82,12 +82,11 @@
  * Shares a pool's slots between hosts by what each one's requests deserve: floors and ranks first,
  * then fair shares of workspaces over the whole fleet; what nobody wants is split evenly.
  *
- * @param hostId - the host to compute for
  * @param options - see {@link ApportionOptions}
- * @returns the slots that this host may use, a fraction included
+ * @returns the slots that each host may use, fractions included; they add up to the capacity
  * @public
  */
-export function apportionSlots(hostId: HostId, options: ApportionOptions): number {
+export function apportionSlots(options: ApportionOptions): ReadonlyMap<HostId, number> {
   const { capacity, ranks, findWeight, demands } = options;
   const wants = sumDemand(demands);
   const wantsByRank = new Map(
@@ -103,11 +102,19 @@
       fillByWeight(grants.get(rankId) ?? 0, byWorkspace, findWeight),
     ]),
   );
-  const own = demands.get(hostId) ?? [];
-  const earned = own.reduce((sum, { rankId, workspaceId, slots }) => {
+
+  /** The part of what a rank and workspace get that falls to this much of their demand. */
+  function computeEarned({ rankId, workspaceId, slots }: SlotDemand): number {
     const wanted = wants.get(rankId)?.get(workspaceId) ?? 0;
     const granted = workspaceGrants.get(rankId)?.get(workspaceId) ?? 0;
-    return wanted > 0 ? sum + (granted * slots) / wanted : sum;
-  }, 0);
-  return earned + spare / Math.max(1, demands.size);
+    return wanted > 0 ? (granted * slots) / wanted : 0;
+  }
+
+  const evenSpare = spare / Math.max(1, demands.size);
+  return new Map(
+    [...demands].map(([hostId, demand]) => [
+      hostId,
+      demand.reduce((sum, entry) => sum + computeEarned(entry), evenSpare),
+    ]),
+  );
 }
--- a/packages/pipeline/src/lib/createGenerationHandler.ts
+++ b/packages/pipeline/src/lib/createGenerationHandler.ts
@@ -120,6 +120,8 @@
       abort.abort();
     },
   });
+  const startedAt = run.pool.clock.now();
+  let hasData = false;
   const decoder = new TextDecoder();
   const result = await lease.send({
     method: 'POST',
@@ -129,6 +131,8 @@
     signal: AbortSignal.any([signal, abort.signal]),
     onData(chunk) {
       stall.noteData();
+      if (!hasData) lease.recordFirstToken(run.pool.clock.now() - startedAt);
+      hasData = true;
       parser.feed(decoder.decode(chunk, { stream: true }));
     },
   });
--- a/packages/pipeline/src/lib/createPoolSet.ts
+++ b/packages/pipeline/src/lib/createPoolSet.ts
@@ -10,6 +10,7 @@
 } from '@endiveferry/base';
 import {
   apportionSlots,
+  createDemandSmoother,
   createRetryBudget,
   createServiceEstimator,
   createStageQueue,
@@ -17,6 +18,7 @@
   type HostDemand,
   type RankPolicy,
   type RetryBudget,
+  type SlotDemand,
   type ServiceEstimator,
   type StageQueue,
 } from '@endiveferry/admission';
@@ -25,7 +27,17 @@
 import type { Logger } from '@endiveferry/telemetry';
 
 /** How long a computed budget is used before demand is looked at again. */
-const BUDGET_VALIDITY_MS = 20;
+const BUDGET_VALIDITY_MS = 50;
+/** How fast shares follow demand. */
+const DEMAND_TIME_CONSTANT_MS = 1_000;
+/** Calls that a host may have running beyond its share. */
+const SPARE_CALLS = 1;
+
+/** A host's own demand on one pool. */
+interface DemandView {
+  /** Looks at the queue and returns the smoothed demand. */
+  update(): readonly SlotDemand[];
+}
 
 /**
  * All that a host keeps for one pool.
@@ -84,7 +96,10 @@
  */
 export function createPoolSet(options: PoolSetOptions): PoolSet {
   const { hostId, clock, fleetDemand } = options;
-  const pools = new Map<PoolId, PoolRuntime & { applySettings: (pool: Pool) => void }>();
+  const pools = new Map<
+    PoolId,
+    PoolRuntime & { demand: DemandView; applySettings: (pool: Pool) => void }
+  >();
   let configuration: Configuration | undefined;
   let hosts: readonly HostId[] = [];
   let leaving: ReadonlySet<BackendServerId> = new Set();
@@ -94,24 +109,21 @@
   const findWeight: (id: keyof Configuration['workspaces']) => number = (id) =>
     configuration?.workspaces[id]?.weight ?? 1;
 
-  /** Slots of this host, looked up anew only once in a while. */
-  function createBudgetFinder(router: PoolRouter, poolId: PoolId, findQueue: () => StageQueue) {
+  /** Slots that this host may use, computed anew only once in a while. */
+  function createBudgetFinder(router: PoolRouter, poolId: PoolId, demand: DemandView) {
     let budget = 0;
     let validUntil = -Infinity;
     return () => {
       if (clock.now() < validUntil) return budget;
       validUntil = clock.now() + BUDGET_VALIDITY_MS;
       const demands = new Map(fleetDemand.listPoolDemand(poolId));
-      demands.set(hostId, findQueue().listDemand());
-      // Rounding up keeps the whole fleet from leaving a slot unused; servers queue the rest.
-      budget = Math.ceil(
-        apportionSlots(hostId, {
-          capacity: router.capacity(),
-          ranks: listRanks(),
-          findWeight,
-          demands,
-        }),
-      );
+      demands.set(hostId, demand.update());
+      const capacity = router.capacity();
+      const shares = apportionSlots({ capacity, ranks: listRanks(), findWeight, demands });
+      router.setShares(shares);
+      // A fleet that leaves no slot unused has a call waiting at each server; engines order those.
+      const share = Math.round(shares.get(hostId) ?? 0) + SPARE_CALLS;
+      budget = capacity === 0 ? 0 : Math.max(1, share);
       return budget;
     };
   }
@@ -119,7 +131,9 @@
   function createPool(poolId: PoolId, firstSettings: Pool) {
     let settings = firstSettings;
     const router = createPoolRouter({ ...options, pool: settings, hosts });
-    const findBudget = createBudgetFinder(router, poolId, () => queue);
+    const smoother = createDemandSmoother(clock, DEMAND_TIME_CONSTANT_MS);
+    const demand = { update: () => smoother.update(queue.listDemand()) };
+    const findBudget = createBudgetFinder(router, poolId, demand);
     const queue: StageQueue = createStageQueue({
       clock,
       listRanks,
@@ -137,6 +151,7 @@
       retryBudget: createRetryBudget(() => configuration?.limits.retryShare ?? 0),
       settings: () => settings,
       findBudget,
+      demand,
       applySettings(next: Pool) {
         settings = next;
         router.update(next, hosts);
@@ -175,7 +190,7 @@
     findPool: (poolId) => pools.get(poolId),
     listPools: () => [...pools.values()],
     listDemand: () =>
-      [...pools.values()].map(({ id, queue }) => ({ poolId: id, slots: queue.listDemand() })),
+      [...pools.values()].map(({ id, demand }) => ({ poolId: id, slots: demand.update() })),
     async close() {
       cancelTick?.();
       await Promise.all([...pools.values()].map((pool) => pool.router.close()));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 /** Which backend server gets a call, what is known of its health, and how the call is sent. */
 export type { ChoiceRequest } from './lib/chooseServer.js';
 export { chooseSubset } from './lib/chooseSubset.js';
+export { computeOwnSlots } from './lib/computeOwnSlots.js';
 export {
   createPoolRouter,
   type PoolRouter,
--- a/packages/routing/src/lib/chooseServer.ts
+++ b/packages/routing/src/lib/chooseServer.ts
@@ -9,15 +9,15 @@
 import type { ServerState } from './createServerState.js';
 
 /** Candidates drawn at random; few enough that hosts with the same reports choose apart. */
-const RANDOM_CANDIDATES = 3;
+const RANDOM_CANDIDATES = 2;
 /** Candidates from the rendezvous order of the prompt's first block. */
 const RENDEZVOUS_CANDIDATES = 2;
 /** What a call to another availability zone costs, in milliseconds. */
 const OTHER_ZONE_COST_MS = 3;
-/** The part of a call's service that a fully cached prompt saves. */
-const CACHED_PREFIX_SAVING = 0.5;
-/** A holder of the prefix is passed over when it is busier than the mean by this factor. */
-const MAX_LOAD_FACTOR = 1.25;
+/** The part of a call's service that a slot of another host's costs: that host may want it. */
+const OTHER_SLOT_COST = 0.25;
+/** The part of a call's service that a fully loaded server costs beside its queue. */
+const LOAD_COST = 0.1;
 
 /**
  * What a call needs of its backend server.
@@ -39,6 +39,10 @@
  */
 export interface ChoiceOptions {
   readonly servers: readonly ServerState[];
+  /** This host's own slots at each server. */
+  readonly ownSlots: ReadonlyMap<BackendServerId, number>;
+  /** What a fully cached prompt saves, in milliseconds. */
+  readonly prefixSavingMs: number;
   readonly availabilityZone: AvailabilityZoneId;
   readonly prefixIndex: PrefixIndex;
   readonly random: Random;
@@ -70,6 +74,9 @@
     const drawn = eligible[random.nextInteger(eligible.length)];
     if (drawn !== undefined) candidates.add(drawn);
   }
+  for (const server of eligible) {
+    if (options.ownSlots.has(server.id)) candidates.add(server);
+  }
   const [firstPrefix] = request.prefixes;
   if (firstPrefix === undefined) return [...candidates];
   const ids = eligible.map((server) => server.id);
@@ -101,17 +108,24 @@
   const candidates = drawCandidates(eligible, request, options);
   const latencies = eligible.flatMap((server) => server.latencyMs() ?? []);
   const typicalMs = latencies.length === 0 ? 1 : computeMean(latencies);
-  const meanLoad = computeMean(eligible.map((server) => server.load() / server.capacity()));
 
   function estimateCompletion(server: ServerState): number {
     const serviceMs = server.latencyMs() ?? typicalMs;
-    const load = server.load() / server.capacity();
-    const distanceMs =
-      server.settings.availabilityZone === options.availabilityZone ? 0 : OTHER_ZONE_COST_MS;
-    const isOverloaded = load > meanLoad * MAX_LOAD_FACTOR + 1 / server.capacity();
+    const capacity = server.capacity();
+    const load = server.load();
+    // A slot of this host's own is free for certain; a report may still count its last call.
+    const isOwnSlot = server.running() < (options.ownSlots.get(server.id) ?? 0);
+    const queued = isOwnSlot ? 0 : Math.max(0, load + 1 - capacity);
+    const isNear = server.settings.availabilityZone === options.availabilityZone;
     const hitShare = options.prefixIndex.findHitShare(server.id, request.prefixes);
-    const savingMs = isOverloaded ? 0 : hitShare * CACHED_PREFIX_SAVING * typicalMs;
-    return serviceMs * (1 + load) + distanceMs - savingMs;
+    return (
+      serviceMs +
+      (queued / capacity) * serviceMs +
+      (load / capacity) * LOAD_COST * typicalMs +
+      (isOwnSlot ? 0 : OTHER_SLOT_COST * typicalMs) +
+      (isNear ? 0 : OTHER_ZONE_COST_MS) -
+      hitShare * options.prefixSavingMs
+    );
   }
 
   let best: ServerState | undefined;
--- a/packages/routing/src/lib/createPoolRouter.ts
+++ b/packages/routing/src/lib/createPoolRouter.ts
@@ -13,6 +13,8 @@
 
 import { chooseServer, type ChoiceRequest } from './chooseServer.js';
 import { chooseSubset } from './chooseSubset.js';
+import { computeOwnSlots } from './computeOwnSlots.js';
+import { createPrefixSaving } from './createPrefixSaving.js';
 import { createPrefixIndex } from './createPrefixIndex.js';
 import { createServerState, type ServerState } from './createServerState.js';
 import { loadReportSchema } from './LoadReport.js';
@@ -48,6 +50,8 @@
    * If it is, its connections are replaced, since the silent one may not be alone.
    */
   checkSilence(): Promise<void>;
+  /** Notes how long a generation took to its first token, in milliseconds. */
+  recordFirstToken(durationMs: number): void;
 }
 
 /**
@@ -74,6 +78,8 @@
   update(pool: Pool, hosts: readonly HostId[]): void;
   /** Marks servers that the platform's list, or another host, says are leaving. */
   setLeaving(serverIds: ReadonlySet<BackendServerId>): void;
+  /** Takes over the slots that each host is due, to find which ones are this host's own. */
+  setShares(shares: ReadonlyMap<HostId, number>): void;
   /** Chooses a server for a call; undefined when none may be used. */
   reserve(request: ChoiceRequest): ServerLease | undefined;
   /** Calls that the whole pool can run at once, over all hosts. */
@@ -113,7 +119,10 @@
   const servers = new Map<BackendServerId, { state: ServerState; stop: () => Promise<void> }>();
   const prefixIndex = createPrefixIndex();
   let pool = options.pool;
+  const prefixSaving = createPrefixSaving();
   let listedLeaving: ReadonlySet<BackendServerId> = new Set();
+  let staying: readonly BackendServerId[] = [];
+  let ownSlots: ReadonlyMap<BackendServerId, number> = new Map();
 
   const listStates = () => [...servers.values()].map(({ state }) => state);
 
@@ -212,9 +221,12 @@
 
   function applyLeaving(): void {
     for (const state of listStates()) state.setLeaving('list', listedLeaving.has(state.id));
+    staying = listEntries(pool.backendServers)
+      .filter(([id, settings]) => !settings.isLeaving && !listedLeaving.has(id))
+      .map(([id]) => id);
   }
 
-  function createLease(state: ServerState): ServerLease {
+  function createLease(state: ServerState, hitShare: number): ServerLease {
     state.startCall();
     let isEnded = false;
     const end = (record?: () => void) => {
@@ -235,6 +247,7 @@
       recordOverload: () => end(() => state.recordOverload()),
       end: () => end(),
       checkSilence: () => checkSilence(state),
+      recordFirstToken: (durationMs) => prefixSaving.record(hitShare, durationMs),
     };
   }
 
@@ -249,16 +262,22 @@
       listedLeaving = serverIds;
       applyLeaving();
     },
+    setShares(shares) {
+      ownSlots = computeOwnSlots(hostId, shares, staying, pool.serverConcurrency);
+    },
     reserve(request) {
       const state = chooseServer(request, {
         servers: listStates(),
+        ownSlots,
+        prefixSavingMs: prefixSaving.estimate(),
         availabilityZone,
         prefixIndex,
         random,
       });
       if (state === undefined) return undefined;
+      const hitShare = prefixIndex.findHitShare(state.id, request.prefixes);
       prefixIndex.recordSent(state.id, request.prefixes);
-      return createLease(state);
+      return createLease(state, hitShare);
     },
     capacity() {
       const states = listStates();
