Let engines put a call that a rank's floor is owed first

Change: a slot says whether the rank was below its floor; such a call goes out with the first priority.

--- a/packages/admission/src/lib/createStageQueue.ts
+++ b/packages/admission/src/lib/createStageQueue.ts
@@ -23,6 +23,8 @@
 export interface Slot {
   /** Time spent waiting, in milliseconds. */
   readonly waitedMs: number;
+  /** Whether the rank is owed this call by its floor, so that no server may put it last again. */
+  readonly isWithinFloor: boolean;
   /** Gives the slot back after the call took `serviceMs` milliseconds; further calls do nothing. */
   release(serviceMs: number): void;
 }
@@ -105,10 +107,12 @@
     return queue;
   }
 
+  function isBelowFloor({ id, floorShare }: RankPolicy): boolean {
+    return usage.rate(id) < floorShare * findBudget();
+  }
+
   /** The ranks that have waiting calls, in the order in which they are to be served. */
   function listWaitingRanks(): RankPolicy[] {
-    const budget = findBudget();
-    const isBelowFloor = (rank: RankPolicy) => usage.rate(rank.id) < rank.floorShare * budget;
     return listRanks()
       .filter((rank) => (queues.get(rank.id)?.count() ?? 0) > 0)
       .sort((a, b) => Number(isBelowFloor(b)) - Number(isBelowFloor(a)) || a.order - b.order);
@@ -159,12 +163,15 @@
 
   function createSlot(request: QueueRequest, enqueuedAt: number): Slot {
     const key = `${request.rankId} ${request.workspaceId}`;
+    const rank = listRanks().find(({ id }) => id === request.rankId);
+    const isWithinFloor = rank !== undefined && isBelowFloor(rank);
     running += 1;
     runningSlots.add(key, 1);
     usage.add(request.rankId, request.costMs);
     let isReleased = false;
     return {
       waitedMs: clock.now() - enqueuedAt,
+      isWithinFloor,
       release(serviceMs) {
         if (isReleased) return;
         isReleased = true;
--- a/packages/pipeline/src/lib/StageHandler.ts
+++ b/packages/pipeline/src/lib/StageHandler.ts
@@ -87,7 +87,19 @@
     };
 
 /** Tries a stage once on a leased backend server. @public */
-export type RunAttempt = (lease: ServerLease, signal: AbortSignal) => Promise<AttemptResult>;
+export type RunAttempt = (options: AttemptOptions) => Promise<AttemptResult>;
+
+/**
+ * What differs from try to try.
+ *
+ * @public
+ */
+export interface AttemptOptions {
+  readonly lease: ServerLease;
+  readonly signal: AbortSignal;
+  /** The order in which the server should take waiting calls; 0 is first. */
+  readonly priority: number;
+}
 
 /**
  * How one kind of backend server is used.
--- a/packages/pipeline/src/lib/createGenerationHandler.ts
+++ b/packages/pipeline/src/lib/createGenerationHandler.ts
@@ -9,6 +9,7 @@
   type AttemptResult,
   type StageHandler,
   type AttemptContext,
+  type AttemptOptions,
 } from './StageHandler.js';
 
 /** A stream that brings nothing for so long has lost its connection or its server. */
@@ -40,7 +41,7 @@
   }
 }
 
-function buildBody(run: AttemptContext, progress: GenerationProgress) {
+function buildBody(run: AttemptContext, progress: GenerationProgress, priority: number) {
   const { stage, input, request } = run;
   return {
     ...input,
@@ -49,7 +50,7 @@
     adapter: stage.adapter,
     max_tokens: stage.maxTokens,
     stream: true,
-    priority: request.rank.order,
+    priority,
     ...(progress.nextOffset === 0
       ? {}
       : { resume: { offset: progress.nextOffset, text: progress.text } }),
@@ -104,8 +105,7 @@
 async function runGeneration(
   run: AttemptContext,
   progress: GenerationProgress,
-  lease: ServerLease,
-  signal: AbortSignal,
+  { lease, signal, priority }: AttemptOptions,
 ): Promise<AttemptResult> {
   const startOffset = progress.nextOffset;
   const abort = new AbortController();
@@ -127,7 +127,7 @@
     method: 'POST',
     path: '/v1/completions',
     headers: { accept: 'text/event-stream' },
-    body: buildBody(run, progress),
+    body: buildBody(run, progress, priority),
     signal: AbortSignal.any([signal, abort.signal]),
     onData(chunk) {
       stall.noteData();
@@ -182,7 +182,7 @@
     computePrefixes: (input) => computePrefixes(getPrompt(input)),
     createAttempts(run) {
       const progress: GenerationProgress = { text: '', nextOffset: 0, isFinished: false };
-      return (lease, signal) => runGeneration(run, progress, lease, signal);
+      return (options) => runGeneration(run, progress, options);
     },
   };
 }
--- a/packages/pipeline/src/lib/createUnaryHandler.ts
+++ b/packages/pipeline/src/lib/createUnaryHandler.ts
@@ -37,11 +37,11 @@
   return createBadAnswer(`the answer of ${run.stage.pool} is wrong: ${issue?.message ?? ''}`);
 }
 
-function buildHeaders(run: AttemptContext): Record<string, string> {
+function buildHeaders(run: AttemptContext, priority: number): Record<string, string> {
   const { request, stageId } = run;
   const headers: Record<string, string> = {
     'x-request-id': `${request.requestId}.${stageId}`,
-    'x-priority': String(request.rank.order),
+    'x-priority': String(priority),
   };
   if (request.idempotencyKey !== undefined && !run.stage.isIdempotent) {
     headers['idempotency-key'] = `${request.workspaceId}.${request.idempotencyKey}.${stageId}`;
@@ -60,24 +60,26 @@
   return {
     getWorkClass: (stage) => kind.getPath(stage),
     computePrefixes: () => [],
-    createAttempts: (run) => async (lease, signal) => {
-      const { stage, request } = run;
-      const result = await lease.send({
-        method: 'POST',
-        path: kind.getPath(stage),
-        headers: buildHeaders(run),
-        body: run.input,
-        signal: stage.isIdempotent ? signal : AbortSignal.timeout(MAX_UNSAFE_CALL_MS),
-        ...(stage.isIdempotent ? {} : { usesOwnConnection: true, maySend: request.mayRun }),
-      });
-      if (result.kind !== 'answered' || result.status !== 200) {
-        return translateCallFailure(result, run.pool.settings().refusalStatuses);
-      }
-      const echoed = result.headers['x-request-id'];
-      if (echoed !== undefined && echoed !== `${request.requestId}.${run.stageId}`) {
-        return createBadAnswer('the answer belongs to another request');
-      }
-      return parseAnswer(kind, run, result.body);
-    },
+    createAttempts:
+      (run) =>
+      async ({ lease, signal, priority }) => {
+        const { stage, request } = run;
+        const result = await lease.send({
+          method: 'POST',
+          path: kind.getPath(stage),
+          headers: buildHeaders(run, priority),
+          body: run.input,
+          signal: stage.isIdempotent ? signal : AbortSignal.timeout(MAX_UNSAFE_CALL_MS),
+          ...(stage.isIdempotent ? {} : { usesOwnConnection: true, maySend: request.mayRun }),
+        });
+        if (result.kind !== 'answered' || result.status !== 200) {
+          return translateCallFailure(result, run.pool.settings().refusalStatuses);
+        }
+        const echoed = result.headers['x-request-id'];
+        if (echoed !== undefined && echoed !== `${request.requestId}.${run.stageId}`) {
+          return createBadAnswer('the answer belongs to another request');
+        }
+        return parseAnswer(kind, run, result.body);
+      },
   };
 }
--- a/packages/pipeline/src/lib/runStage.ts
+++ b/packages/pipeline/src/lib/runStage.ts
@@ -19,6 +19,8 @@
 const MIN_HEDGE_DELAY_MS = 50;
 /** Wait before another look for a backend server that may be used. */
 const NO_SERVER_WAIT_MS = 50;
+/** Servers take calls of this priority first. */
+const FIRST_PRIORITY = 0;
 /** Tries of one stage, whatever the budget allows. */
 const MAX_ATTEMPTS = 5;
 
@@ -110,7 +112,8 @@
   const startedAt = pool.clock.now();
   const labels = { stage: stageId, attempt: state.started, backendServer: lease.serverId };
   request.recordEvent('attempt-started', { ...labels, waitedMs: slot.waitedMs });
-  const result = await state.runAttempt(lease, state.signal);
+  const priority = slot.isWithinFloor ? FIRST_PRIORITY : request.rank.order;
+  const result = await state.runAttempt({ lease, signal: state.signal, priority });
   const serviceMs = pool.clock.now() - startedAt;
   reportToServer(lease, result, serviceMs);
   slot.release(serviceMs);
