--- a/apps/bench/src/lib/createFleet.ts
+++ b/apps/bench/src/lib/createFleet.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:net';
+
 import {
   createRandom,
   hostIdSchema,
@@ -21,8 +23,10 @@
 } from './standins/createPlatformStandIn.js';
 import { startStandIns, type StandIns } from './standins/startStandIns.js';
 
-const ANY_PORT = '127.0.0.1:0';
-const FIRST_PEER_PORT = 21_000;
+const LOOPBACK = '127.0.0.1';
+const ANY_PORT = `${LOOPBACK}:0`;
+/** Below the ports that operating systems give out by themselves. */
+const FIRST_PEER_PORT = 10_000;
 const PEER_PORTS = 20_000;
 
 /**
@@ -71,13 +75,33 @@
   throw new Error(configuration.error.map(formatFault).join('\n'));
 }
 
+function canListen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
+  });
+}
+
+async function findFreePort(random: Random): Promise<number> {
+  for (;;) {
+    const port = FIRST_PEER_PORT + random.nextInteger(PEER_PORTS);
+    if (await canListen(port)) return port;
+  }
+}
+
 /** Keeps the first hosts, and gives each an address on loopback. */
-function placeHosts(configuration: Configuration, count: number, random: Random): void {
-  const base = FIRST_PEER_PORT + random.nextInteger(PEER_PORTS);
+async function placeHosts(
+  configuration: Configuration,
+  count: number,
+  random: Random,
+): Promise<void> {
   const hosts = listEntries(configuration.hosts).slice(0, count);
-  configuration.hosts = Object.fromEntries(
-    hosts.map(([id, host], index) => [id, { ...host, peerAddress: `127.0.0.1:${base + index}` }]),
-  );
+  configuration.hosts = {};
+  for (const [id, host] of hosts) {
+    const peerAddress = `${LOOPBACK}:${await findFreePort(random)}`;
+    configuration.hosts[id] = { ...host, peerAddress };
+  }
 }
 
 const listLive = (configuration: Configuration): ListedStates => ({
@@ -100,7 +124,7 @@
   const platform = await startPlatformStandIn();
   let configuration = standIns.configuration;
   // Ports differ from run to run, so that two runs at once do not meet.
-  placeHosts(configuration, options.hostCount ?? Infinity, createRandom(process.pid));
+  await placeHosts(configuration, options.hostCount ?? Infinity, createRandom(process.pid));
   platform.publishConfiguration(configuration);
   platform.publishHosts(listLive(configuration));
   const daemons = new Map<HostId, Daemon>();
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -6,6 +6,7 @@
   createSupervisor,
   createSystemClock,
   describeError,
+  listEntries,
   processIdSchema,
   waitFor,
   type BackendServerId,
@@ -190,13 +191,24 @@
     const configuration = control.configuration();
     if (configuration === undefined) return;
     const hosts = control.listHosts();
-    claims.view.setHosts([...hosts.keys()]);
+    applyHomes();
     pools.update(configuration, [...hosts.keys()]);
     network.setPeers(choosePeers(hostId, hosts));
     applyLeaving();
     network.sendHeartbeats();
   }
 
+  /** Homes of keys follow the platform's list alone, which is confirmed all the time. */
+  function applyHomes(): void {
+    const list = control.hostList();
+    if (list === undefined) return;
+    const live = listEntries(list.hosts).filter(([, { state }]) => state === 'live');
+    claims.view.setHosts(
+      live.map(([id]) => id),
+      list.revision,
+    );
+  }
+
   function applyLeaving(): void {
     const leaving = new Set<BackendServerId>([
       ...control.listLeavingServers(),
--- a/packages/admission/src/lib/createFairQueue.ts
+++ b/packages/admission/src/lib/createFairQueue.ts
@@ -10,8 +10,11 @@
  */
 export interface FairQueue {
   push(entry: QueueEntry): void;
-  /** Takes the next call: fair between workspaces by cost and weight, then by latest start. */
-  pop(): QueueEntry | undefined;
+  /**
+   * Takes the next call: fair between workspaces by cost and weight, then by latest start. Calls
+   * that are too late to start are passed to `onExpired`; no workspace is charged for them.
+   */
+  pop(now: number, onExpired: (entry: QueueEntry) => void): QueueEntry | undefined;
   /** Tells that an entry left the queue without being popped. */
   remove(entry: QueueEntry): void;
   /** Finds the call to refuse first: of the workspace most over its share, the one due last. */
@@ -64,9 +67,16 @@
   }
 
   /** Entries that were refused or cancelled stay in the heap until they come up. */
-  function popWaiting(queue: WorkspaceQueue): QueueEntry | undefined {
+  function popWaiting(
+    queue: WorkspaceQueue,
+    now: number,
+    onExpired: (entry: QueueEntry) => void,
+  ): QueueEntry | undefined {
     for (let entry = queue.entries.pop(); entry; entry = queue.entries.pop()) {
-      if (entry.isWaiting) return entry;
+      if (!entry.isWaiting) continue;
+      forget(queue, entry);
+      if (now <= entry.latestStartAt) return entry;
+      onExpired(entry);
     }
     return undefined;
   }
@@ -92,16 +102,16 @@
       queue.waitingMs += entry.costMs;
       total += 1;
     },
-    pop() {
-      const next = findNextWorkspace();
-      if (next === undefined) return undefined;
-      const [workspaceId, queue] = next;
-      const entry = popWaiting(queue);
-      if (entry === undefined) return undefined;
-      forget(queue, entry);
-      virtualTime = Math.max(virtualTime, queue.finishTag);
-      queue.finishTag = virtualTime + entry.costMs / findWeight(workspaceId);
-      return entry;
+    pop(now, onExpired) {
+      for (let next = findNextWorkspace(); next; next = findNextWorkspace()) {
+        const [workspaceId, queue] = next;
+        const entry = popWaiting(queue, now, onExpired);
+        if (entry === undefined) continue;
+        virtualTime = Math.max(virtualTime, queue.finishTag);
+        queue.finishTag = virtualTime + entry.costMs / findWeight(workspaceId);
+        return entry;
+      }
+      return undefined;
     },
     remove(entry) {
       forget(findQueue(entry.workspaceId), entry);
--- /dev/null
+++ b/packages/admission/src/lib/createRetryBudget.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import { createRetryBudget } from './createRetryBudget.js';
+
+test('property: retries never exceed their share of first tries by more than was saved up', () => {
+  fc.assert(
+    fc.property(fc.array(fc.boolean(), { maxLength: 500 }), (steps) => {
+      const budget = createRetryBudget(() => 0.1);
+      for (const isRetry of steps) {
+        if (isRetry) budget.tryWithdraw();
+        else budget.recordFirstTry();
+        const { firstTries, retries } = budget.counts();
+        assert.ok(retries <= 0.1 * firstTries + 20 + 1e-9);
+      }
+    }),
+    { seed: 6, numRuns: 200 },
+  );
+});
--- a/packages/admission/src/lib/createStageQueue.ts
+++ b/packages/admission/src/lib/createStageQueue.ts
@@ -118,12 +118,21 @@
       .sort((a, b) => Number(isBelowFloor(b)) - Number(isBelowFloor(a)) || a.order - b.order);
   }
 
+  function leaveQueue(entry: QueueEntry): void {
+    waiting -= 1;
+    entry.isWaiting = false;
+  }
+
+  function refuseExpired(entry: QueueEntry): void {
+    leaveQueue(entry);
+    entry.refuse(createRefusal('deadline-exceeded', 'waited too long to finish in time'));
+  }
+
   function takeNext(): QueueEntry | undefined {
     for (const rank of listWaitingRanks()) {
-      const entry = findQueue(rank.id).pop();
+      const entry = findQueue(rank.id).pop(clock.now(), refuseExpired);
       if (entry === undefined) continue;
-      waiting -= 1;
-      entry.isWaiting = false;
+      leaveQueue(entry);
       return entry;
     }
     return undefined;
@@ -133,18 +142,13 @@
     while (waiting > 0 && running < findBudget()) {
       const entry = takeNext();
       if (entry === undefined) return;
-      if (clock.now() > entry.latestStartAt) {
-        entry.refuse(createRefusal('deadline-exceeded', 'waited too long to finish in time'));
-      } else {
-        entry.start();
-      }
+      entry.start();
     }
   }
 
   function refuseWaiting(entry: QueueEntry, failure: Failure): void {
     if (!entry.isWaiting) return;
-    entry.isWaiting = false;
-    waiting -= 1;
+    leaveQueue(entry);
     findQueue(entry.rankId).remove(entry);
     entry.refuse(failure);
   }
--- /dev/null
+++ b/packages/admission/src/lib/createWorkspaceLimiter.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { createFakeClock, hostIdSchema, workspaceIdSchema } from '@endiveferry/base';
+
+import { createFleetDemand } from './createFleetDemand.js';
+import { createWorkspaceLimiter } from './createWorkspaceLimiter.js';
+
+const mill = workspaceIdSchema.parse('mill');
+const host = (index: number) => hostIdSchema.parse(`host-${index}`);
+
+/** Hosts that exchange what they were offered, as heartbeats do. */
+function createHosts(count: number, requestsPerSecond: number) {
+  const clock = createFakeClock();
+  const hosts = Array.from({ length: count }, (_value, index) => {
+    const demand = createFleetDemand(clock);
+    const limiter = createWorkspaceLimiter({
+      clock,
+      findLimits: () => ({ requestsPerSecond }),
+      findHostShare: (id) => demand.findShare(host(index), id),
+    });
+    return { demand, limiter, isDead: false };
+  });
+  function exchange(): void {
+    for (const [index, from] of hosts.entries()) {
+      if (from.isDead) continue;
+      const rate = from.limiter.findOfferedRate(mill);
+      const report = { pools: [], workspaces: [{ workspaceId: mill, rate }] };
+      for (const to of hosts) to.demand.recordDemand(host(index), report);
+    }
+  }
+  return { clock, hosts, exchange };
+}
+
+/** Offers 100 requests a second in given parts; returns those admitted. */
+async function offer(world: ReturnType<typeof createHosts>, parts: number[], seconds: number) {
+  let admitted = 0;
+  for (let step = 0; step < seconds * 100; step += 1) {
+    await world.clock.advance(10);
+    if (step % 50 === 0) world.exchange();
+    const point = ((step * 37) % 100) / 100;
+    let sum = 0;
+    const index = parts.findIndex((part) => (sum += part) > point);
+    const target = world.hosts[index];
+    const result = target?.limiter.admit(mill);
+    if (result?.isOk() === true) {
+      admitted += 1;
+      result.value();
+    }
+  }
+  return admitted;
+}
+
+test('a fleet-wide rate holds under uneven balancing, where a fixed part would not', async () => {
+  const world = createHosts(4, 40);
+  await offer(world, [0.7, 0.2, 0.1, 0], 5);
+  const admitted = await offer(world, [0.7, 0.2, 0.1, 0], 10);
+  assert.ok(admitted > 0.9 * 400 && admitted < 1.1 * 400, `${admitted} of 400`);
+});
+
+test('the part of a host that died goes to the others', async () => {
+  const world = createHosts(3, 40);
+  await offer(world, [0.4, 0.3, 0.3], 5);
+  const dead = world.hosts[0];
+  assert.ok(dead !== undefined);
+  dead.isDead = true;
+  await offer(world, [0, 0.5, 0.5], 5);
+  const admitted = await offer(world, [0, 0.5, 0.5], 10);
+  assert.ok(admitted > 0.9 * 400 && admitted < 1.1 * 400, `${admitted} of 400`);
+});
--- a/packages/claims/src/lib/createHomeView.ts
+++ b/packages/claims/src/lib/createHomeView.ts
@@ -26,8 +26,8 @@
  * @public
  */
 export interface HomeView {
-  /** Takes over a list of hosts. */
-  setHosts(hosts: readonly HostId[]): void;
+  /** Takes over the list of hosts that the platform published under a revision. */
+  setHosts(hosts: readonly HostId[], revision: number): void;
   /** Notes up to when, in wall-clock milliseconds, the platform vouches for the list. */
   confirm(asOfMs: number): void;
   /** The home of a key; undefined without a list. */
@@ -37,7 +37,8 @@
 }
 
 interface PastView {
-  readonly hosts: readonly HostId[];
+  /** Undefined where revisions were skipped: anyone may have been home under those. */
+  readonly hosts: readonly HostId[] | undefined;
   /** Wall-clock time from which on this host knew a newer list. */
   readonly replacedAt: number;
 }
@@ -59,6 +60,7 @@
 ): HomeView {
   const startedAt = clock.wallTime();
   let hosts: readonly HostId[] = [];
+  let revision: number | undefined;
   let confirmedAsOf = -Infinity;
   let pastViews: PastView[] = [];
 
@@ -68,20 +70,24 @@
     const { clockSkewMs, viewValidityMs } = findLimits();
     return pastViews.some(
       (view) =>
-        findHomeIn(view.hosts, key) !== hostId &&
+        (view.hosts === undefined || findHomeIn(view.hosts, key) !== hostId) &&
         bornAtMs <= view.replacedAt + viewValidityMs + 2 * clockSkewMs,
     );
   }
 
   return {
-    setHosts(nextHosts) {
-      const isSame =
-        nextHosts.length === hosts.length && nextHosts.every((id) => hosts.includes(id));
-      if (isSame) return;
+    setHosts(nextHosts, nextRevision) {
+      if (nextRevision === revision) return;
       const now = clock.wallTime();
       const { keyRetentionMs } = findLimits();
+      const isNext = nextRevision === (revision ?? 0) + 1;
+      const isSame =
+        nextHosts.length === hosts.length && nextHosts.every((id) => hosts.includes(id));
       // A first list has no forerunner here, but others may have acted on one: the start covers it.
-      if (hosts.length > 0) pastViews.push({ hosts, replacedAt: now });
+      const isFirst = revision === undefined;
+      if (!isFirst && !isNext) pastViews.push({ hosts: undefined, replacedAt: now });
+      else if (!isFirst && !isSame) pastViews.push({ hosts, replacedAt: now });
+      revision = nextRevision;
       pastViews = pastViews.filter((view) => view.replacedAt > now - 2 * keyRetentionMs);
       hosts = [...nextHosts];
     },
