Test calls, routing, links between hosts, control state and the tool

Cause: these parts had no tests of their own. Change: tests over real loopback sockets for what was sent and what was not, properties of slots, subsets and revisions, a half-open link, and the tool's output.

--- /dev/null
+++ b/apps/cli/src/lib/runCli.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Writable } from 'node:stream';
+import { test } from 'node:test';
+
+import { runCli } from './runCli.js';
+
+const example = (name: string) => new URL(`../../../../examples/${name}`, import.meta.url).pathname;
+
+async function run(...args: string[]) {
+  let output = '';
+  const stream = new Writable({
+    write(chunk: Buffer, _encoding, done) {
+      output += chunk.toString();
+      done();
+    },
+  });
+  const exitCode = await runCli(args, { stdout: stream, stderr: stream });
+  return { exitCode, output };
+}
+
+for (const name of ['urdimbre', 'kakadu']) {
+  test(`the ${name} example has no faults`, async () => {
+    const { exitCode, output } = await run('check', example(name));
+    assert.equal(exitCode, 0, output);
+  });
+}
+
+test('a folder with three faults prints three and fails', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'endiveferry-'));
+  const merged = await run('merge', example('urdimbre'));
+  await writeFile(join(folder, '10.json'), merged.output);
+  await writeFile(
+    join(folder, '20.json'),
+    JSON.stringify({
+      ranks: { urgent: { order: -1 } },
+      pipelines: { 'stock-lookup': { rank: 'gone' } },
+      colour: 'green',
+    }),
+  );
+  const { exitCode, output } = await run('check', folder);
+  await rm(folder, { recursive: true });
+  assert.equal(exitCode, 1);
+  assert.equal(output.split('\n').filter((line) => line.startsWith('20.json: $.')).length, 3);
+  assert.match(output, /: 3 faults/);
+});
+
+test('diff names what changed, and the patch makes one folder into the other', async () => {
+  const { exitCode, output } = await run(
+    'diff',
+    '--json',
+    example('urdimbre'),
+    example('urdimbre'),
+  );
+  assert.equal(exitCode, 0);
+  assert.deepEqual(JSON.parse(output), { patch: {}, changes: [] });
+  const other = await run('diff', example('urdimbre'), example('kakadu'));
+  assert.match(other.output, /^- \$\.ranks\.urgent$/m);
+});
+
+test('a host that is not there is a reason to fail, not a stack trace', async () => {
+  const { exitCode, output } = await run('status', '--operators', '127.0.0.1:1');
+  assert.equal(exitCode, 1);
+  assert.match(output, /unreachable: 127\.0\.0\.1:1 cannot be asked: /);
+  assert.doesNotMatch(output, /\n {4}at /);
+});
+
+test('help names every command', async () => {
+  const { output } = await run('--help');
+  for (const name of [
+    'check',
+    'merge',
+    'diff',
+    'submit',
+    'status',
+    'explain',
+    'drain',
+    'completion',
+  ]) {
+    assert.match(output, new RegExp(`endiveferry ${name}`));
+  }
+});
--- /dev/null
+++ b/apps/daemon/src/lib/createControlState.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { createFakeClock, hostIdSchema } from '@endiveferry/base';
+import { hostListSchema } from '@endiveferry/platform';
+import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+import fc from 'fast-check';
+
+import { createControlState } from './createControlState.js';
+
+setLogWriter(() => undefined);
+
+const createDocument = (deadlineMs: number) => ({
+  availabilityZones: { north: { region: 'r' } },
+  hosts: { 'host-1': { availabilityZone: 'north', peerAddress: '127.0.0.1:1' } },
+  ranks: { urgent: { order: 0, deadlineMs, floorShare: 0, worth: 1 } },
+  workspaces: {},
+  pools: {},
+  pipelines: {},
+});
+
+function createWorld() {
+  const confirmed: number[] = [];
+  let changes = 0;
+  const control = createControlState({
+    clock: createFakeClock(),
+    logger: createLogger(hostIdSchema.parse('host-1'), 'error'),
+    onChange: () => (changes += 1),
+    onConfirm: (asOfMs) => confirmed.push(asOfMs),
+  });
+  return { control, confirmed, countChanges: () => changes };
+}
+
+const createList = (revision: number, asOf: string, state: 'live' | 'leaving' = 'live') =>
+  hostListSchema.parse({ revision, asOf, hosts: { 'host-1': { state } } });
+
+test('property: the revision in force never goes back, and is always a valid one', () => {
+  const revisionArbitrary = fc.record({ revision: fc.nat(20), isValid: fc.boolean() });
+  fc.assert(
+    fc.property(fc.array(revisionArbitrary, { maxLength: 40 }), (published) => {
+      const { control } = createWorld();
+      let before = 0;
+      for (const { revision, isValid } of published) {
+        const document = isValid ? createDocument(revision + 1) : { ranks: 'none' };
+        control.applyConfiguration({ revision, document }, 'platform');
+        const now = control.published()?.revision ?? 0;
+        assert.ok(now >= before);
+        before = now;
+        const deadlineMs = Object.values(control.configuration()?.ranks ?? {})[0]?.deadlineMs;
+        if (control.published() !== undefined) assert.equal(deadlineMs, now + 1);
+      }
+    }),
+    { seed: 10, numRuns: 200 },
+  );
+});
+
+test('an invalid revision is told with its faults, and the last good one stays', () => {
+  const { control } = createWorld();
+  control.applyConfiguration({ revision: 1, document: createDocument(5) }, 'platform');
+  control.applyConfiguration({ revision: 2, document: { colour: 'green' } }, 'platform');
+  assert.equal(control.published()?.revision, 1);
+  assert.equal(control.rejected()?.revision, 2);
+  assert.ok((control.rejected()?.faults.length ?? 0) > 1);
+  control.applyConfiguration({ revision: 3, document: createDocument(6) }, 'platform');
+  assert.equal(control.rejected(), undefined);
+});
+
+test('an older list from a stale reader changes and confirms nothing', () => {
+  const { control, confirmed, countChanges } = createWorld();
+  control.applyConfiguration({ revision: 1, document: createDocument(5) }, 'platform');
+  control.applyHostList(createList(2, '2026-01-01T00:00:10Z', 'leaving'), 'platform');
+  const changes = countChanges();
+  control.applyHostList(createList(1, '2026-01-01T00:00:20Z'), 'platform');
+  assert.equal(countChanges(), changes);
+  assert.equal(control.listHosts().size, 0);
+  assert.deepEqual(confirmed, [Date.parse('2026-01-01T00:00:10Z')]);
+});
+
+test('a host is told of a newer confirmation of the same list only once', () => {
+  const { control, confirmed } = createWorld();
+  control.applyHostList(createList(1, '2026-01-01T00:00:10Z'), 'platform');
+  control.confirmHostList(1, Date.parse('2026-01-01T00:00:15Z'));
+  control.confirmHostList(1, Date.parse('2026-01-01T00:00:12Z'));
+  control.confirmHostList(2, Date.parse('2026-01-01T00:00:30Z'));
+  assert.equal(confirmed.length, 2);
+});
--- /dev/null
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import { createServer, type Socket } from 'node:net';
+import { test } from 'node:test';
+
+import {
+  createRandom,
+  createSupervisor,
+  createSystemClock,
+  hostIdSchema,
+  processIdSchema,
+  type HostId,
+} from '@endiveferry/base';
+import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+
+import { createPeerNetwork, type PeerNetwork } from './createPeerNetwork.js';
+import type { Heartbeat } from './messages.js';
+
+setLogWriter(() => undefined);
+
+const hostA = hostIdSchema.parse('host-a');
+const hostB = hostIdSchema.parse('host-b');
+const clock = createSystemClock();
+
+const createHeartbeat = (hostId: HostId): Heartbeat => ({
+  processId: processIdSchema.parse(`process-${hostId}`),
+  isDraining: false,
+  configurationRevision: 7,
+  hostListRevision: 1,
+  hostListAsOf: 0,
+  takenOverProcesses: [],
+  leavingServers: [],
+  demand: { pools: [], workspaces: [] },
+});
+
+interface World {
+  readonly addresses: Map<HostId, string>;
+  readonly listed: Set<HostId>;
+  readonly heard: Map<HostId, number>;
+  readonly start: (hostId: HostId) => Promise<PeerNetwork>;
+}
+
+async function withWorld(run: (world: World) => Promise<void>): Promise<void> {
+  const addresses = new Map<HostId, string>();
+  const listed = new Set([hostA, hostB]);
+  const heard = new Map<HostId, number>();
+  const networks: PeerNetwork[] = [];
+  const supervisor = createSupervisor('test', { clock, onCrash: () => undefined });
+  async function start(hostId: HostId): Promise<PeerNetwork> {
+    const network = await createPeerNetwork({
+      hostId,
+      processId: processIdSchema.parse(`process-${hostId}`),
+      address: '127.0.0.1:0',
+      keys: () => undefined,
+      clock,
+      random: createRandom(1),
+      logger: createLogger(hostId, 'error'),
+      supervisor: supervisor.createChild(hostId),
+      findAddress: (id) => addresses.get(id),
+      isListed: (id) => listed.has(id),
+      buildHeartbeat: () => createHeartbeat(hostId),
+      onHeartbeat: (id) => heard.set(id, (heard.get(id) ?? 0) + 1),
+      handleRequest: (from, kind, body) => Promise.resolve({ from, kind, body }),
+    });
+    networks.push(network);
+    addresses.set(hostId, network.address);
+    return network;
+  }
+  try {
+    await run({ addresses, listed, heard, start });
+  } finally {
+    for (const network of networks) await network.close();
+    await supervisor.stop();
+  }
+}
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  for (let turn = 0; turn < 1_000 && !isDone(); turn += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  assert.ok(isDone(), 'it did not come to pass');
+}
+
+test('two hosts exchange heartbeats, and one does what the other asks', () =>
+  withWorld(async ({ start, heard }) => {
+    const a = await start(hostA);
+    await start(hostB);
+    a.setPeers([hostB]);
+    await waitUntil(() => (heard.get(hostA) ?? 0) > 0 && (heard.get(hostB) ?? 0) > 0);
+    assert.equal(a.listLinks()[0]?.state, 'up');
+    const reply = await a.request(hostB, 'read-configuration', { n: 1 }, 1_000);
+    assert.deepEqual(reply.unwrapOr(undefined), {
+      from: hostA,
+      kind: 'read-configuration',
+      body: { n: 1 },
+    });
+  }));
+
+test('a host that is not on the list is refused', () =>
+  withWorld(async ({ start, listed }) => {
+    const a = await start(hostA);
+    await start(hostB);
+    listed.delete(hostA);
+    const reply = await a.request(hostB, 'read-configuration', {}, 1_000);
+    assert.ok(reply.isErr());
+    assert.match(reply.error.detail, /not on the list/);
+    assert.equal(reply.error.kind, 'not-sent');
+  }));
+
+test('a request to a host that is not there was not sent', () =>
+  withWorld(async ({ start }) => {
+    const a = await start(hostA);
+    const reply = await a.request(hostB, 'forward-request', {}, 1_000);
+    assert.equal(reply.isErr() && reply.error.kind, 'not-sent');
+  }));
+
+/** Passes bytes on until told to swallow them, as a path that lost track of a connection does. */
+async function startRelay(target: string) {
+  const [ip, port] = target.split(':');
+  const sockets = new Set<Socket>();
+  const server = createServer((inner) => {
+    const outer = new (inner.constructor as typeof Socket)().connect(Number(port), ip ?? '');
+    for (const socket of [inner, outer]) {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+    }
+    inner.pipe(outer).pipe(inner);
+  });
+  const address = await new Promise<string>((resolve) =>
+    server.listen(0, '127.0.0.1', () =>
+      resolve(`127.0.0.1:${(server.address() as { port: number }).port}`),
+    ),
+  );
+  return {
+    address,
+    silence() {
+      for (const socket of sockets) {
+        socket.unpipe();
+        socket.pause();
+      }
+    },
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+test('a link whose connection went silent is replaced by one that works', () =>
+  withWorld(async ({ start, addresses }) => {
+    const a = await start(hostA);
+    await start(hostB);
+    const relay = await startRelay(addresses.get(hostB) ?? '');
+    addresses.set(hostB, relay.address);
+    a.setPeers([hostB]);
+    await waitUntil(() => a.listLinks()[0]?.state === 'up');
+    const heardAt = () => a.listLinks()[0]?.lastHeardAt ?? 0;
+    relay.silence();
+    const silencedAt = clock.now();
+    await waitUntil(() => heardAt() > silencedAt + 1_000);
+    assert.equal(a.listLinks()[0]?.state, 'up');
+    relay.close();
+  }));
--- /dev/null
+++ b/packages/routing/src/lib/computeOwnSlots.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { backendServerIdSchema, hostIdSchema } from '@endiveferry/base';
+import fc from 'fast-check';
+
+import { chooseSubset } from './chooseSubset.js';
+import { computeOwnSlots } from './computeOwnSlots.js';
+
+const createHosts = (count: number) =>
+  Array.from({ length: count }, (_value, index) => hostIdSchema.parse(`host-${index}`));
+const createServers = (count: number) =>
+  Array.from({ length: count }, (_value, index) => backendServerIdSchema.parse(`engine-${index}`));
+
+test('property: each slot belongs to exactly one host, whatever the shares', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.double({ min: 0.1, max: 20, noNaN: true }), { minLength: 1, maxLength: 12 }),
+      fc.integer({ min: 1, max: 20 }),
+      fc.integer({ min: 1, max: 6 }),
+      (weights, serverCount, concurrency) => {
+        const hosts = createHosts(weights.length);
+        const servers = createServers(serverCount);
+        const shares = new Map(hosts.map((id, index) => [id, weights[index] ?? 0]));
+        const owned = new Map<string, number>();
+        for (const id of hosts) {
+          for (const [serverId, count] of computeOwnSlots(id, shares, servers, concurrency)) {
+            owned.set(serverId, (owned.get(serverId) ?? 0) + count);
+          }
+        }
+        for (const serverId of servers) assert.equal(owned.get(serverId), concurrency);
+      },
+    ),
+    { seed: 9, numRuns: 200 },
+  );
+});
+
+test('a subset covers every replica equally often, and a lost host moves little', () => {
+  const hosts = createHosts(400);
+  const servers = createServers(940);
+  const cover = new Map(servers.map((id) => [id, 0]));
+  const fewer = hosts.slice(1);
+  let kept = 0;
+  let total = 0;
+  for (const hostId of fewer) {
+    const before = new Set(chooseSubset(hostId, hosts, servers, 20));
+    const after = chooseSubset(hostId, fewer, servers, 20);
+    for (const id of before) cover.set(id, (cover.get(id) ?? 0) + 1);
+    kept += after.filter((id) => before.has(id)).length;
+    total += after.length;
+  }
+  const counts = [...cover.values()];
+  // Nine hosts cover each replica; the one that is left out here counts for some.
+  assert.ok(Math.min(...counts) >= 8 && Math.max(...counts) <= 9);
+  assert.ok(kept / total > 0.99, `${kept} of ${total}`);
+});
+
+test('a pool no larger than the subset is used whole', () => {
+  const [hostId] = createHosts(1);
+  assert.ok(hostId !== undefined);
+  const servers = createServers(8);
+  assert.deepEqual(chooseSubset(hostId, createHosts(6), servers, 20), servers);
+});
