Split the daemon into lifecycle, configuration source and heartbeat; export gauges

Change: createLifecycle, startConfigurationSource, buildHeartbeat, registerGauges; a debug line for each try with request, stage and server.

--- a/apps/daemon/src/lib/buildStatus.ts
+++ b/apps/daemon/src/lib/buildStatus.ts
@@ -5,7 +5,7 @@
 import { formatFault } from '@endiveferry/settings';
 
 import type { ControlState } from './createControlState.js';
-import type { DaemonState } from './createDaemon.js';
+import type { DaemonState } from './createLifecycle.js';
 
 /**
  * What a host knows of another one.
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -2,7 +2,6 @@
 
 import {
   createRandom,
-  createStateMachine,
   createSupervisor,
   createSystemClock,
   describeError,
@@ -14,52 +13,32 @@
   type HostId,
   type ProcessId,
 } from '@endiveferry/base';
-import { createFleetDemand, createWorkspaceLimiter, type HostDemand } from '@endiveferry/admission';
-import { createClaims, type HandOverPlan } from '@endiveferry/claims';
-import {
-  choosePeers,
-  createPeerNetwork,
-  type Heartbeat,
-  type PeerNetwork,
-} from '@endiveferry/peers';
+import { createFleetDemand, createWorkspaceLimiter } from '@endiveferry/admission';
+import { createClaims } from '@endiveferry/claims';
+import { choosePeers, createPeerNetwork, type PeerNetwork } from '@endiveferry/peers';
 import { createPipelineRunner, createPoolSet } from '@endiveferry/pipeline';
-import { createPlatformClient } from '@endiveferry/platform';
-import {
-  formatFault,
-  isLoopback,
-  readConfiguration,
-  readFolder,
-  type ProcessSettings,
-} from '@endiveferry/settings';
+import { isLoopback, type ProcessSettings } from '@endiveferry/settings';
 import { createLogger, createMetrics, createTraceStore } from '@endiveferry/telemetry';
 
+import { buildDemand, buildHeartbeat } from './buildHeartbeat.js';
 import { buildStatus, type HostStatus } from './buildStatus.js';
 import { createCallersListener } from './createCallersListener.js';
 import { createControlState } from './createControlState.js';
+import { createLifecycle, type DaemonState } from './createLifecycle.js';
 import { createOperatorsListener } from './createOperatorsListener.js';
 import { createPeerHandlers } from './createPeerHandlers.js';
 import { createRequestService } from './createRequestService.js';
 import { readTlsKeys } from './readTlsKeys.js';
+import { registerGauges } from './registerGauges.js';
+import { startConfigurationSource } from './startConfigurationSource.js';
 
-/** Time for the balancer to notice that the host is not ready before it refuses requests. */
 const DEFAULT_READINESS_GRACE_MS = 3_000;
-/** How long a host that starts waits for a configuration before it looks again. */
-const CONFIGURATION_POLL_MS = 20;
-/** How long a host that starts waits for others that do not answer. */
-const MAX_ASKING_MS = 2_000;
-const ACTIVE_POLL_MS = 20;
-const HAND_OVER_TIMEOUT_MS = 5_000;
-/** Shortest time beyond which a forwarded request's outcome is not waited for. */
+const READY_POLL_MS = 20;
+/** Shortest time for which a forwarded request's outcome is waited for. */
 const MIN_FORWARD_TIMEOUT_MS = 50;
 
-/** A workspace that offers fewer requests a second is left out of heartbeats. */
-const MIN_REPORTED_RATE = 0.01;
-
-/** Where a daemon is in its life. @public */
-export type DaemonState = 'starting' | 'ready' | 'draining' | 'refusing' | 'stopped';
-
 /**
- * Options of a daemon, for tests and trials.
+ * Options of a daemon; all but the settings are for tests and trials.
  *
  * @public
  */
@@ -67,6 +46,7 @@
   readonly settings: ProcessSettings;
   readonly clock?: Clock;
   readonly seed?: number;
+  /** Time for the balancer to notice that the host is not ready, in milliseconds. */
   readonly readinessGraceMs?: number;
 }
 
@@ -118,17 +98,8 @@
     onCrash: (path, error) =>
       logger.error('a task failed and is started again', { path, error: describeError(error) }),
   });
-  const machine = createStateMachine<DaemonState, 'ready' | 'drain' | 'refuse' | 'stop'>(
-    'starting',
-    {
-      starting: { ready: 'ready', drain: 'draining', stop: 'stopped' },
-      ready: { drain: 'draining', stop: 'stopped' },
-      draining: { refuse: 'refusing', stop: 'stopped' },
-      refusing: { stop: 'stopped' },
-      stopped: {},
-    },
-    (state) => logger.info('state changed', { state }),
-  );
+  let callerKeys = readTlsKeys(settings.callers.tls);
+  let peerKeys = readTlsKeys(settings.peers.tls);
 
   const control = createControlState({
     clock,
@@ -152,7 +123,6 @@
     fleetDemand,
     supervisor: supervisor.createChild('pools'),
   });
-  const runner = createPipelineRunner({ pools, clock, metrics });
   const limiter = createWorkspaceLimiter({
     clock,
     findLimits: (id) => control.configuration()?.workspaces[id]?.limits ?? {},
@@ -167,13 +137,10 @@
       control.configuration()?.limits ?? { clockSkewMs: 0, viewValidityMs: 0, keyRetentionMs: 0 },
     findProcess: (id) => (id === hostId ? processId : knowledge.findProcess(id)),
     findSuccessor: knowledge.findSuccessor,
-    forward: (target, request) =>
-      network.request(
-        target,
-        'forward-request',
-        request,
-        Math.max(MIN_FORWARD_TIMEOUT_MS, request.remainingMs),
-      ),
+    forward: (target, request) => {
+      const timeoutMs = Math.max(MIN_FORWARD_TIMEOUT_MS, request.remainingMs);
+      return network.request(target, 'forward-request', request, timeoutMs);
+    },
     execute: (request, mayRun) => service.executeKeyed(request, mayRun),
   });
   const service = createRequestService({
@@ -181,14 +148,23 @@
     logger,
     metrics,
     traces,
-    runner,
+    runner: createPipelineRunner({ pools, clock, metrics, logger }),
     limiter,
     findClaims: () => claims,
     findConfiguration: control.configuration,
   });
+  const lifecycle = createLifecycle({
+    clock,
+    logger,
+    control,
+    claims,
+    findNetwork: () => network,
+    listStaying: knowledge.listStaying,
+    countActive: service.countActive,
+    readinessGraceMs: options.readinessGraceMs ?? DEFAULT_READINESS_GRACE_MS,
+    stopEverything,
+  });
 
-  let callerKeys = readTlsKeys(settings.callers.tls);
-  let peerKeys = readTlsKeys(settings.peers.tls);
   function applyControl(): void {
     const configuration = control.configuration();
     if (configuration === undefined) return;
@@ -212,39 +188,23 @@
   }
 
   function applyLeaving(): void {
-    const leaving = new Set<BackendServerId>([
-      ...control.listLeavingServers(),
-      ...knowledge.listLeavingServers(),
-    ]);
-    pools.setLeaving(leaving);
+    const listed = control.listLeavingServers();
+    pools.setLeaving(new Set<BackendServerId>([...listed, ...knowledge.listLeavingServers()]));
   }
 
-  function buildDemand(): HostDemand {
-    return {
-      pools: pools.listDemand(),
-      workspaces: limiter
-        .listWorkspaces()
-        .map((workspaceId) => ({ workspaceId, rate: limiter.findOfferedRate(workspaceId) }))
-        .filter(({ rate }) => rate > MIN_REPORTED_RATE),
-    };
+  function buildOwnHeartbeat() {
+    const demand = buildDemand(pools, limiter);
+    fleetDemand.recordDemand(hostId, demand);
+    const isDraining = lifecycle.state() !== 'ready';
+    return buildHeartbeat({ processId, isDraining, control, claims, pools, demand });
   }
 
-  function buildHeartbeat(): Heartbeat {
-    const demand = buildDemand();
-    fleetDemand.recordDemand(hostId, demand);
-    return {
-      processId,
-      isDraining: machine.current() !== 'ready',
-      configurationRevision: control.published()?.revision ?? 0,
-      hostListRevision: control.hostListRevision(),
-      hostListAsOf: control.hostListAsOfMs(),
-      takenOverProcesses: [...claims.listTakenOver()],
-      leavingServers: pools.listPools().flatMap(({ router }) => router.listReportedLeaving()),
-      demand: {
-        pools: demand.pools.map(({ poolId, slots }) => ({ poolId, slots: [...slots] })),
-        workspaces: [...demand.workspaces],
-      },
-    };
+  function findPeerAddress(id: HostId): string | undefined {
+    const configured = control.configuration()?.hosts[id]?.peerAddress;
+    const address = configured ?? settings.peers.seeds[id];
+    // A plain connection that leaves the machine is refused, whatever the configuration says.
+    const isAllowed = address !== undefined && (peerKeys !== undefined || isLoopback(address));
+    return isAllowed ? address : undefined;
   }
 
   const network: PeerNetwork = await createPeerNetwork({
@@ -256,18 +216,12 @@
     random,
     logger,
     supervisor: supervisor.createChild('peers'),
-    findAddress(id) {
-      const address = control.configuration()?.hosts[id]?.peerAddress ?? settings.peers.seeds[id];
-      // A plain connection that leaves the machine is refused, whatever the configuration says.
-      const isAllowed = address !== undefined && (peerKeys !== undefined || isLoopback(address));
-      return isAllowed ? address : undefined;
-    },
+    findAddress: findPeerAddress,
     isListed: (id) => control.configuration() === undefined || control.listHosts().has(id),
-    buildHeartbeat,
+    buildHeartbeat: buildOwnHeartbeat,
     onHeartbeat: knowledge.receiveHeartbeat,
     handleRequest: knowledge.handleRequest,
   });
-
   const callers = createCallersListener({
     findKeys: () => callerKeys,
     hostId,
@@ -277,13 +231,13 @@
     service,
     findConfiguration: control.configuration,
     issueKey: (workspaceId) => claims.issueKey(workspaceId),
-    isRefusing: () => machine.current() === 'refusing',
+    isRefusing: () => lifecycle.state() === 'refusing',
   });
-  const status = () =>
+  const buildOwnStatus = () =>
     buildStatus({
       hostId,
       processId,
-      state: machine.current(),
+      state: lifecycle.state(),
       activeRequests: service.countActive(),
       keyRecords: claims.countRecords(),
       control,
@@ -294,100 +248,12 @@
     token: settings.operators.token,
     metrics,
     traces,
-    isReady: () => machine.current() === 'ready',
-    buildStatus: status,
-    drain: () => void drain(),
+    isReady: () => lifecycle.state() === 'ready',
+    buildStatus: buildOwnStatus,
+    drain: () => void lifecycle.drain(),
   });
 
-  async function loadFolder(folder: string): Promise<void> {
-    const checked = await readConfiguration(folder);
-    if (checked.isErr()) {
-      logger.error('the configuration folder has faults', {
-        faults: checked.error.map(formatFault),
-      });
-      return;
-    }
-    const merged = await readFolder(folder);
-    if (merged.isErr()) return;
-    const revision = control.seenRevision() + 1;
-    control.applyConfiguration({ revision, document: merged.value.document }, 'folder');
-  }
-
-  async function startPlatform(): Promise<void> {
-    if ('folder' in settings.platform) {
-      await loadFolder(settings.platform.folder);
-      return;
-    }
-    createPlatformClient({
-      url: settings.platform.url,
-      hostId,
-      clock,
-      random,
-      logger,
-      supervisor: supervisor.createChild('platform'),
-      listener: {
-        onConfiguration: (published) => control.applyConfiguration(published, 'platform'),
-        onHostList: (list) => control.applyHostList(list, 'platform'),
-      },
-      findConfigurationRevision: control.seenRevision,
-      findHostListRevision: control.hostListRevision,
-    });
-  }
-
-  /** Whether some other host has not been heard yet, or knows a newer revision. */
-  function hasMoreToLearn(): boolean {
-    return network
-      .listLinks()
-      .some(
-        ({ lastHeartbeat }) =>
-          lastHeartbeat === undefined ||
-          lastHeartbeat.configurationRevision > control.seenRevision() ||
-          lastHeartbeat.hostListRevision > control.hostListRevision(),
-      );
-  }
-
-  /** What the platform shows may be stale, so a starting host asks the others before it serves. */
-  async function becomeReady(signal: AbortSignal): Promise<void> {
-    while (control.configuration() === undefined && !signal.aborted) {
-      await waitFor(clock, CONFIGURATION_POLL_MS, signal);
-    }
-    const askUntil = clock.now() + MAX_ASKING_MS;
-    while (hasMoreToLearn() && clock.now() < askUntil && !signal.aborted) {
-      await waitFor(clock, CONFIGURATION_POLL_MS, signal);
-    }
-    if (!signal.aborted) machine.send('ready');
-  }
-
-  /** At most one host may ever take a process's keys, so an unknown outcome ends the tries. */
-  async function handOver(plan: HandOverPlan): Promise<void> {
-    for (const target of plan.hosts) {
-      const reply = await network.request(
-        target,
-        'take-over-keys',
-        plan.handOver,
-        HAND_OVER_TIMEOUT_MS,
-      );
-      if (reply.isOk() || reply.error.kind === 'unknown') return;
-    }
-  }
-
-  async function waitForActive(): Promise<void> {
-    while (service.countActive() > 0) await waitFor(clock, ACTIVE_POLL_MS);
-  }
-
-  async function stopGracefully(): Promise<void> {
-    machine.send('drain');
-    network.sendHeartbeats();
-    await waitFor(clock, options.readinessGraceMs ?? DEFAULT_READINESS_GRACE_MS);
-    machine.send('refuse');
-    await waitForActive();
-    const plans = claims.close(knowledge.listStaying());
-    await Promise.all(plans.map(handOver));
-    await stopEverything();
-  }
-
   async function stopEverything(): Promise<void> {
-    machine.send('stop');
     await callers.close();
     await supervisor.stop();
     await network.close();
@@ -395,43 +261,46 @@
     await operators.close();
   }
 
-  let stopping: Promise<void> | undefined;
-  function drain(): Promise<void> {
-    stopping ??= stopGracefully();
-    return stopping;
-  }
-
+  registerGauges(metrics, buildOwnStatus);
   const addresses = {
     callers: await callers.listen(settings.callers.address),
     peers: network.address,
     operators: await operators.listen(settings.operators.address),
   };
   network.setPeers(listEntries(settings.peers.seeds).map(([id]) => id));
-  supervisor.spawn('readiness', becomeReady);
-  await startPlatform();
+  supervisor.spawn('readiness', (signal) => lifecycle.becomeReady(signal));
+  const source = await startConfigurationSource({
+    platform: settings.platform,
+    hostId,
+    clock,
+    random,
+    logger,
+    supervisor: supervisor.createChild('platform'),
+    control,
+  });
   logger.info('started', addresses);
 
   return {
     hostId,
     processId,
     addresses,
-    state: () => machine.current(),
-    status,
+    state: lifecycle.state,
+    status: buildOwnStatus,
     async waitUntilReady() {
-      while (machine.current() === 'starting') await waitFor(clock, CONFIGURATION_POLL_MS);
+      while (lifecycle.state() === 'starting') await waitFor(clock, READY_POLL_MS);
     },
-    drain,
+    drain: lifecycle.drain,
     async kill() {
-      stopping ??= stopEverything();
+      const killed = lifecycle.kill();
       callers.destroy();
-      await stopping;
+      await killed;
     },
     async reload() {
       callerKeys = readTlsKeys(settings.callers.tls);
       peerKeys = readTlsKeys(settings.peers.tls);
       callers.reloadKeys();
       network.reloadKeys();
-      if ('folder' in settings.platform) await loadFolder(settings.platform.folder);
+      await source.reload();
     },
   };
 }
--- /dev/null
+++ b/apps/daemon/src/lib/startConfigurationSource.ts
@@ -0,0 +1,87 @@
+import type { Clock, HostId, Random, Supervisor } from '@endiveferry/base';
+import { createPlatformClient } from '@endiveferry/platform';
+import {
+  checkConfiguration,
+  formatFault,
+  readFolder,
+  type Fault,
+  type ProcessSettings,
+} from '@endiveferry/settings';
+import type { Logger } from '@endiveferry/telemetry';
+
+import type { ControlState } from './createControlState.js';
+
+/**
+ * Where configuration comes from.
+ *
+ * @internal
+ */
+export interface ConfigurationSource {
+  /** Reads a local folder again; the platform is watched all the time anyway. */
+  reload(): Promise<void>;
+}
+
+/**
+ * Options of a configuration source.
+ *
+ * @internal
+ */
+export interface ConfigurationSourceOptions {
+  readonly platform: ProcessSettings['platform'];
+  readonly hostId: HostId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly supervisor: Supervisor;
+  readonly control: ControlState;
+}
+
+async function loadFolder(
+  folder: string,
+  { control, logger }: ConfigurationSourceOptions,
+): Promise<void> {
+  const reportFaults = (faults: readonly Fault[]) =>
+    logger.error('the configuration folder has faults', { faults: faults.map(formatFault) });
+  const merged = await readFolder(folder);
+  if (merged.isErr()) {
+    reportFaults(merged.error);
+    return;
+  }
+  const { document, files } = merged.value;
+  const checked = checkConfiguration(document, files);
+  if (checked.isErr()) {
+    reportFaults(checked.error);
+    return;
+  }
+  const revision = control.seenRevision() + 1;
+  control.applyConfiguration({ revision, document }, 'folder');
+}
+
+/**
+ * Starts watching the platform, or reads a local folder in its place.
+ *
+ * @param options - see {@link ConfigurationSourceOptions}
+ * @returns the source
+ * @internal
+ */
+export async function startConfigurationSource(
+  options: ConfigurationSourceOptions,
+): Promise<ConfigurationSource> {
+  const { platform, control } = options;
+  if ('folder' in platform) {
+    const reload = () => loadFolder(platform.folder, options);
+    await reload();
+    return { reload };
+  }
+  createPlatformClient({
+    ...options,
+    url: platform.url,
+    listener: {
+      onConfiguration: (published) => control.applyConfiguration(published, 'platform'),
+      onHostList: (list) => control.applyHostList(list, 'platform'),
+    },
+    findConfigurationRevision: control.seenRevision,
+    findHostListRevision: control.hostListRevision,
+  });
+  return { reload: () => Promise.resolve() };
+}
--- a/packages/pipeline/src/lib/createPipelineRunner.ts
+++ b/packages/pipeline/src/lib/createPipelineRunner.ts
@@ -8,7 +8,7 @@
   type StageId,
 } from '@endiveferry/base';
 import type { Stage } from '@endiveferry/settings';
-import type { Metrics } from '@endiveferry/telemetry';
+import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
 import type { PoolRuntime, PoolSet } from './createPoolSet.js';
@@ -114,8 +114,9 @@
   readonly pools: PoolSet;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }): PipelineRunner {
-  const { pools, clock, metrics } = options;
+  const { pools, clock, metrics, logger } = options;
 
   async function runStages(
     request: RequestContext,
@@ -132,7 +133,7 @@
       const latestStartAt = request.deadlineAt - sumBudgets(planned.slice(index));
       const result = await runStage(
         { request, stageId: id, stage, pool, input, latestStartAt },
-        metrics,
+        { metrics, logger },
       );
       if (result.isErr()) {
         const whole = mergeExecution(execution, result.error.execution);
--- a/packages/pipeline/src/lib/runStage.ts
+++ b/packages/pipeline/src/lib/runStage.ts
@@ -9,7 +9,7 @@
 } from '@endiveferry/base';
 import type { Slot } from '@endiveferry/admission';
 import type { ServerLease } from '@endiveferry/routing';
-import type { Metrics, WasteCause } from '@endiveferry/telemetry';
+import type { Logger, Metrics, WasteCause } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
 import type { AttemptOptions, AttemptResult, RunAttempt, StageRun } from './StageHandler.js';
@@ -35,6 +35,16 @@
   readonly tokens: number;
 }
 
+/**
+ * Where a stage is accounted for.
+ *
+ * @internal
+ */
+export interface StageAccounts {
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
 interface Attempt {
   readonly lease: ServerLease;
   readonly done: Promise<Attempt>;
@@ -44,7 +54,7 @@
 /** The state that the tries of one stage share. */
 interface StageState {
   readonly run: StageRun;
-  readonly metrics: Metrics;
+  readonly accounts: StageAccounts;
   readonly runAttempt: RunAttempt;
   readonly triedServers: Set<BackendServerId>;
   readonly running: Set<Attempt>;
@@ -119,7 +129,7 @@
   slot: Slot,
   lease: ServerLease,
 ): Promise<AttemptResult> {
-  const { run, metrics } = state;
+  const { run, accounts } = state;
   const { request, pool, stageId } = run;
   const startedAt = pool.clock.now();
   const labels = { stage: stageId, attempt: state.started, backendServer: lease.serverId };
@@ -137,7 +147,7 @@
   slot.release(serviceMs);
   const waste = findWaste(state, result);
   if (result.kind === 'done') pool.estimator.record(getWorkClass(run), serviceMs);
-  metrics.recordStage({
+  accounts.metrics.recordStage({
     pipelineId: request.pipelineId,
     stageId,
     poolId: pool.id,
@@ -147,12 +157,19 @@
     tokens: result.kind === 'done' ? result.tokens : 0,
     ...(waste === undefined ? {} : { waste }),
   });
+  const outcome = result.kind === 'done' ? 'done' : result.failure.reason;
   request.recordEvent('attempt-ended', {
     ...labels,
     serviceMs,
-    ...(result.kind === 'done'
-      ? { outcome: 'done' }
-      : { outcome: result.failure.reason, execution: result.failure.execution }),
+    outcome,
+    ...(result.kind === 'done' ? {} : { execution: result.failure.execution }),
+  });
+  accounts.logger.debug('a try of a stage ended', {
+    requestId: request.requestId,
+    stageId,
+    backendServer: lease.serverId,
+    serviceMs,
+    outcome,
   });
   return result;
 }
@@ -261,18 +278,18 @@
  * what other tries bring is thrown away.
  *
  * @param run - the stage and its request
- * @param metrics - where cost is accounted
+ * @param accounts - where cost is accounted and tries are logged
  * @returns the stage's output, or why there is none
  * @public
  */
 export async function runStage(
   run: StageRun,
-  metrics: Metrics,
+  accounts: StageAccounts,
 ): Promise<Result<StageOutput, Failure>> {
   const end = new AbortController();
   const state: StageState = {
     run,
-    metrics,
+    accounts,
     runAttempt: stageHandlers[run.pool.settings().kind].createAttempts(run),
     triedServers: new Set(),
     running: new Set(),
