--- a/apps/daemon/src/lib/createControlState.test.ts
+++ b/apps/daemon/src/lib/createControlState.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { createFakeClock, hostIdSchema } from '@endiveferry/base';
+import { createFakeClock, hostIdSchema, readPropertyOptions } from '@endiveferry/base';
 import { hostListSchema } from '@endiveferry/platform';
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 import fc from 'fast-check';
@@ -50,7 +50,7 @@
         if (control.published() !== undefined) assert.equal(deadlineMs, now + 1);
       }
     }),
-    { seed: 10, numRuns: 200 },
+    readPropertyOptions(10, 200),
   );
 });
 
--- a/packages/admission/src/lib/apportionSlots.test.ts
+++ b/packages/admission/src/lib/apportionSlots.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { hostIdSchema, rankIdSchema, workspaceIdSchema } from '@endiveferry/base';
+import {
+  hostIdSchema,
+  rankIdSchema,
+  workspaceIdSchema,
+  readPropertyOptions,
+} from '@endiveferry/base';
 import fc from 'fast-check';
 
 import { apportionSlots } from './apportionSlots.js';
@@ -44,7 +49,7 @@
       assert.ok(Math.abs(total - capacity) < 1e-6, `${total} of ${capacity}`);
       assert.ok([...shares.values()].every((share) => share >= 0));
     }),
-    { seed: 5, numRuns: 300 },
+    readPropertyOptions(5, 300),
   );
 });
 
--- a/packages/admission/src/lib/createRetryBudget.test.ts
+++ b/packages/admission/src/lib/createRetryBudget.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { readPropertyOptions } from '@endiveferry/base';
 import fc from 'fast-check';
 
 import { createRetryBudget } from './createRetryBudget.js';
@@ -16,6 +17,6 @@
         assert.ok(retries <= 0.1 * firstTries + 20 + 1e-9);
       }
     }),
-    { seed: 6, numRuns: 200 },
+    readPropertyOptions(6, 200),
   );
 });
--- a/packages/admission/src/lib/createStageQueue.test.ts
+++ b/packages/admission/src/lib/createStageQueue.test.ts
@@ -4,6 +4,7 @@
 import {
   createFakeClock,
   rankIdSchema,
+  readPropertyOptions,
   workspaceIdSchema,
   type FakeClock,
   type RankId,
@@ -214,6 +215,6 @@
         assert.deepEqual([queue.running(), queue.waiting()], [0, 0]);
       },
     ),
-    { seed: 4, numRuns: Number(process.env.SOAK_RUNS ?? 60) },
+    readPropertyOptions(4, 60),
   );
 });
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -41,6 +41,7 @@
   type WorkspaceId,
 } from './lib/ids.js';
 export { listEntries } from './lib/listEntries.js';
+export { readPropertyOptions } from './lib/readPropertyOptions.js';
 export {
   createRefusal,
   executionSchema,
--- a/packages/claims/src/lib/createClaims.test.ts
+++ b/packages/claims/src/lib/createClaims.test.ts
@@ -7,6 +7,7 @@
   pipelineIdSchema,
   processIdSchema,
   rankIdSchema,
+  readPropertyOptions,
   requestIdSchema,
   workspaceIdSchema,
   type HostId,
@@ -405,6 +406,6 @@
         else if (outcome.execution === 'not-run') assert.equal(runsThen, 0);
       }
     }),
-    { seed: Number(process.env.SOAK_SEED ?? 8), numRuns: Number(process.env.SOAK_RUNS ?? 150) },
+    readPropertyOptions(8, 150),
   );
 });
--- a/packages/routing/src/lib/computeOwnSlots.test.ts
+++ b/packages/routing/src/lib/computeOwnSlots.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { backendServerIdSchema, hostIdSchema } from '@endiveferry/base';
+import { backendServerIdSchema, hostIdSchema, readPropertyOptions } from '@endiveferry/base';
 import fc from 'fast-check';
 
 import { chooseSubset } from './chooseSubset.js';
@@ -31,7 +31,7 @@
         for (const serverId of servers) assert.equal(owned.get(serverId), concurrency);
       },
     ),
-    { seed: 9, numRuns: 200 },
+    readPropertyOptions(9, 200),
   );
 });
 
--- /dev/null
+++ b/tools/run-soak.mjs
@@ -0,0 +1,23 @@
+// Runs the property tests for longer than CI does: npm run soak -- --seed N --runs N
+import { spawnSync } from 'node:child_process';
+import { parseArgs } from 'node:util';
+
+const { values } = parseArgs({
+  options: { seed: { type: 'string', default: '1' }, runs: { type: 'string', default: '5000' } },
+});
+const files = [
+  'packages/claims/dist/lib/createClaims.test.js',
+  'packages/admission/dist/lib/createStageQueue.test.js',
+  'packages/admission/dist/lib/apportionSlots.test.js',
+  'packages/admission/dist/lib/createRetryBudget.test.js',
+  'packages/routing/dist/lib/computeOwnSlots.test.js',
+  'packages/pipeline/dist/lib/runStage.test.js',
+  'apps/daemon/dist/lib/createControlState.test.js',
+];
+// fast-check prints the seed, the path and the shrunk case of a failure.
+const { status } = spawnSync(
+  process.execPath,
+  ['--test', '--test-reporter=spec', '--test-name-pattern=property:', ...files],
+  { stdio: 'inherit', env: { ...process.env, SOAK_SEED: values.seed, SOAK_RUNS: values.runs } },
+);
+process.exitCode = status ?? 1;
