--- a/apps/daemon/src/lib/createRequestService.ts
+++ b/apps/daemon/src/lib/createRequestService.ts
@@ -1,6 +1,7 @@
 import {
   createRefusal,
   describeError,
+  NO_LONGER_NEEDED,
   waitFor,
   type Clock,
   type Failure,
@@ -138,7 +139,7 @@
       }),
     );
     const result = await Promise.race([running, late]);
-    done.abort();
+    done.abort(NO_LONGER_NEEDED);
     return result;
   }
 
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,6 +1,12 @@
 /** Ids, verdicts, time, chance and the few helpers that every other package needs. */
 export { assertNever } from './lib/assertNever.js';
-export { createSystemClock, isAborted, waitFor, type Clock } from './lib/clock.js';
+export {
+  createSystemClock,
+  isAborted,
+  NO_LONGER_NEEDED,
+  waitFor,
+  type Clock,
+} from './lib/clock.js';
 export { createFakeClock, type FakeClock } from './lib/createFakeClock.js';
 export { createRandom, type Random } from './lib/createRandom.js';
 export {
--- a/packages/base/src/lib/clock.ts
+++ b/packages/base/src/lib/clock.ts
@@ -29,6 +29,14 @@
   };
 }
 
+/**
+ * The reason to abort with where a wait or a task just is no longer needed. Without one, each abort
+ * builds an exception with a stack trace that nobody reads.
+ *
+ * @internal
+ */
+export const NO_LONGER_NEEDED = 'no longer needed';
+
 /**
  * Looks at a signal again after an await; the compiler would hold on to what an earlier look found.
  *
--- a/packages/base/src/lib/createSupervisor.ts
+++ b/packages/base/src/lib/createSupervisor.ts
@@ -1,5 +1,5 @@
 import type { Clock } from './clock.js';
-import { isAborted, waitFor } from './clock.js';
+import { isAborted, NO_LONGER_NEEDED, waitFor } from './clock.js';
 
 const FIRST_RESTART_MS = 100;
 const MAX_RESTART_MS = 5_000;
@@ -70,7 +70,7 @@
       const controller = new AbortController();
       const ended = runTask(`${name}/${taskName}`, task, controller.signal);
       const stop = async () => {
-        controller.abort();
+        controller.abort(NO_LONGER_NEEDED);
         await ended;
         stops.delete(stop);
       };
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -1,6 +1,7 @@
 import {
   createStateMachine,
   describeError,
+  NO_LONGER_NEEDED,
   waitFor,
   type Clock,
   type HostId,
@@ -194,7 +195,7 @@
   /** Waits for the next heartbeat's time, or until there is news. */
   function waitForHeartbeat(link: Link, signal: AbortSignal): Promise<void> {
     const wake = new AbortController();
-    link.wake = () => wake.abort();
+    link.wake = () => wake.abort(NO_LONGER_NEEDED);
     const intervalMs = HEARTBEAT_INTERVAL_MS * (0.9 + random.nextFraction() * 0.2);
     return waitFor(clock, intervalMs, AbortSignal.any([signal, wake.signal]));
   }
--- a/packages/pipeline/src/lib/runStage.ts
+++ b/packages/pipeline/src/lib/runStage.ts
@@ -2,6 +2,7 @@
   createRefusal,
   describeError,
   mergeExecution,
+  NO_LONGER_NEEDED,
   waitFor,
   type BackendServerId,
   type Execution,
@@ -216,7 +217,7 @@
   const timer = new AbortController();
   const slow = waitFor(state.run.pool.clock, computeHedgeDelay(state.run), timer.signal);
   const first = await Promise.race([...ends, slow.then(() => undefined)]);
-  timer.abort();
+  timer.abort(NO_LONGER_NEEDED);
   return first;
 }
 
@@ -303,6 +304,6 @@
   const result = await runAttempts(state);
   state.isDone = true;
   // Ends what other tries still do, and keeps one that waits for a slot from starting.
-  end.abort();
+  end.abort(NO_LONGER_NEEDED);
   return result;
 }
--- a/packages/telemetry/src/lib/createTraceStore.ts
+++ b/packages/telemetry/src/lib/createTraceStore.ts
@@ -1,7 +1,7 @@
 import type { Clock, RequestId } from '@endiveferry/base';
 
 /** Requests whose traces are kept; older ones are forgotten first. */
-const MAX_TRACES = 4_096;
+const MAX_TRACES = 512;
 /** Events kept for one request. */
 const MAX_EVENTS = 64;
 
