Order engines to load what the configuration places on them, one host at a time

Cause: nothing told engines what to hold; a paused or outdated host must never do so. Change: packages/orders: the responsible host is the home of the engine's name in the published list, under the same fences as keys, checked again right before the write; the fencing number is the list's revision; loads are paced. The stand-in engine takes orders and refuses old numbers.

--- a/apps/bench/src/lib/standins/createEngineKind.ts
+++ b/apps/bench/src/lib/standins/createEngineKind.ts
@@ -1,4 +1,5 @@
 import { computeHash, type Random } from '@endiveferry/base';
+import type { Order } from '@endiveferry/orders';
 import { computePrefixes } from '@endiveferry/routing';
 
 import {
@@ -81,6 +82,26 @@
   };
 }
 
+/** Loading a model takes this long. */
+const LOAD_MS = 500;
+
+/** The models of one engine. It refuses an order that carries an old fencing number. */
+function createOrderBook(models: readonly string[]) {
+  let loaded = [...models];
+  let highest = 0;
+  return {
+    listLoaded: (): readonly string[] => loaded,
+    take({ fencingNumber, models: wanted }: Order): boolean {
+      if (fencingNumber < highest) return false;
+      highest = fencingNumber;
+      const ids = wanted.map(({ id }) => id);
+      loaded = loaded.filter((id) => ids.some((other) => other === id));
+      setTimeout(() => (loaded = [...ids]), LOAD_MS).unref();
+      return true;
+    },
+  };
+}
+
 interface CompletionBody {
   readonly requestId: string;
   readonly prompt: string;
@@ -128,6 +149,7 @@
   tokenIntervalMs: number,
 ): StandInKind {
   const cache = createPromptCache(counts);
+  const orders = createOrderBook(models);
   const cancelled = new Set<string>();
 
   async function generate(
@@ -156,8 +178,12 @@
     findCallId: (call) => parseBody(call).requestId,
     findPriority: (call) => Number(call.body.priority ?? 9),
     work: (call, wait, faults) => generate(call, parseBody(call), wait, faults),
-    report: () => ({ models: models as never, cache: cache.report() }),
+    report: () => ({ models: orders.listLoaded() as never, cache: cache.report() }),
     handleControl(call) {
+      if (call.path === '/v1/orders') {
+        sendJson(call.response, orders.take(call.body as unknown as Order) ? 202 : 409, {});
+        return true;
+      }
       if (call.path !== '/v1/cancel') return false;
       cancelled.add(parseBody(call).requestId);
       sendJson(call.response, 202, {});
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -16,6 +16,7 @@
 import { createFleetDemand, createWorkspaceLimiter } from '@endiveferry/admission';
 import { createClaims } from '@endiveferry/claims';
 import { choosePeers, createPeerNetwork, type PeerNetwork } from '@endiveferry/peers';
+import { createOrderKeeper } from '@endiveferry/orders';
 import { createPipelineRunner, createPoolSet } from '@endiveferry/pipeline';
 import { isLoopback, type ProcessSettings } from '@endiveferry/settings';
 import { createLogger, createMetrics, createTraceStore } from '@endiveferry/telemetry';
@@ -261,6 +262,22 @@
     await operators.close();
   }
 
+  createOrderKeeper({
+    clock,
+    logger,
+    supervisor: supervisor.createChild('orders'),
+    view: claims.view,
+    findFencingNumber: control.hostListRevision,
+    findConfiguration: control.configuration,
+    countHosts: () => control.listHosts().size,
+    findReportedModels: (poolId, serverId) =>
+      pools.findPool(poolId)?.router.findReportedModels(serverId),
+    async send(poolId, serverId, order, maySend, timeoutMs) {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const call = { method: 'POST', path: '/v1/orders', body: order, maySend, signal } as const;
+      return pools.findPool(poolId)?.router.sendTo(serverId, { ...call, usesOwnConnection: true });
+    },
+  });
   registerGauges(metrics, buildOwnStatus);
   const addresses = {
     callers: await callers.listen(settings.callers.address),
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,7 @@
   'admission',
   'routing',
   'pipeline',
+  'orders',
 ];
 
 const layerRules = packageOrder.map((name, index) => ({
--- a/packages/routing/src/lib/createPoolRouter.ts
+++ b/packages/routing/src/lib/createPoolRouter.ts
@@ -85,6 +85,10 @@
   /** Calls that the whole pool can run at once, over all hosts. */
   readonly capacity: () => number;
   readonly listStatus: () => readonly ServerStatus[];
+  /** The models that a server reported; undefined before its first report. */
+  findReportedModels(serverId: BackendServerId): readonly string[] | undefined;
+  /** Sends a call outside any lease, such as an order; undefined for an unknown server. */
+  sendTo(serverId: BackendServerId, call: Call): Promise<CallResult | undefined>;
   /** Servers that said themselves that they leave. */
   readonly listReportedLeaving: () => readonly BackendServerId[];
   close(): Promise<void>;
@@ -286,6 +290,11 @@
       const total = Object.keys(pool.backendServers).length;
       return states.length === 0 ? 0 : (known * total) / states.length;
     },
+    findReportedModels(serverId) {
+      const models = servers.get(serverId)?.state.reportedModels();
+      return models === undefined ? undefined : [...models];
+    },
+    sendTo: async (serverId, call) => servers.get(serverId)?.state.connections.send(call),
     listStatus: () =>
       listStates().map((state) => ({
         serverId: state.id,
--- a/packages/routing/src/lib/createServerState.ts
+++ b/packages/routing/src/lib/createServerState.ts
@@ -38,6 +38,8 @@
   /** Lowers the limit: the server refused a call or let it run out of time. */
   recordOverload(): void;
   recordReport(report: LoadReport): void;
+  /** The models that the server reported; undefined before a report that names any. */
+  readonly reportedModels: () => ReadonlySet<string> | undefined;
   /** Whether the server has loaded a model, as far as reports tell. */
   hasModel(model: string): boolean;
 }
@@ -113,6 +115,7 @@
       leaving.report = next.isLeaving;
       if (next.models !== undefined) loadedModels = new Set(next.models);
     },
+    reportedModels: () => loadedModels,
     hasModel: (model) =>
       loadedModels?.has(model) ?? state.settings.models.some((placed) => placed === model),
   };
--- a/packages/settings/src/lib/configuration.ts
+++ b/packages/settings/src/lib/configuration.ts
@@ -128,6 +128,11 @@
   maxBodyBytes: z.int().min(1).max(64_000_000).default(1_000_000),
   maxQueuedPerPool: z.int().min(1).default(2_000).describe('requests waiting, on each host'),
   retryShare: shareSchema.default(0.1).describe('retries and hedges against first tries'),
+  modelLoadsPerMinute: z
+    .number()
+    .positive()
+    .default(60)
+    .describe('loads that the weight store takes, from all hosts together'),
   keyRetentionMs: durationSchema
     .default(3_600_000)
     .describe('how long a used idempotency key is remembered'),
