Add endiveferry top; ask only the hosts that are named

Change: TopCommand on top of StatusCommand; the default applies only when none is named; a test named after what it did.

--- a/apps/cli/src/lib/OperatorsCommand.ts
+++ b/apps/cli/src/lib/OperatorsCommand.ts
@@ -44,7 +44,7 @@
  * @internal
  */
 export abstract class OperatorsCommand extends BaseCommand {
-  operators = Option.Array('--operators', [DEFAULT_OPERATORS_ADDRESS], {
+  operators = Option.Array('--operators', {
     description: `ip:port of an operators' listener; may be given once for each host`,
   });
 
@@ -53,10 +53,15 @@
     env: 'ENDIVEFERRY_OPERATORS_TOKEN',
   });
 
+  /** The addresses named, or the usual one on this machine. */
+  protected listAddresses(): readonly string[] {
+    return this.operators ?? [DEFAULT_OPERATORS_ADDRESS];
+  }
+
   /** Asks every host that was named; the answers come in the order of the options. */
   protected async askAll(path: string) {
     return Promise.all(
-      this.operators.map(async (address) => ({
+      this.listAddresses().map(async (address) => ({
         address,
         answer: await askHost(address, this.token, 'GET', path),
       })),
--- a/apps/cli/src/lib/hostCommands.ts
+++ b/apps/cli/src/lib/hostCommands.ts
@@ -1,4 +1,5 @@
 import { Command, Option } from 'clipanion';
+import { isNumber } from 'typanion';
 
 import { exitCodes } from './BaseCommand.js';
 import { formatTable } from './formatTable.js';
@@ -83,7 +84,8 @@
     examples: [['Two hosts', '$0 status --operators 127.0.0.1:8081 --operators 127.0.0.1:8091']],
   });
 
-  async execute(): Promise<number> {
+  /** Asks once and prints what hosts say; false when one of them did not answer. */
+  protected async printStatus(): Promise<boolean> {
     const answers = await this.askAll('/v1/status');
     const statuses = answers.flatMap(({ answer }) =>
       answer.isOk() ? [answer.value as HostStatus] : [],
@@ -103,7 +105,41 @@
       ...disagreements.map((line) => `disagreement: ${line}`),
       ...unreachable.map((line) => `unreachable: ${line}`),
     ]);
-    return unreachable.length > 0 ? exitCodes.failed : exitCodes.ok;
+    return unreachable.length === 0;
+  }
+
+  async execute(): Promise<number> {
+    return (await this.printStatus()) ? exitCodes.ok : exitCodes.failed;
+  }
+}
+
+const CLEAR_SCREEN = '\u001b[2J\u001b[H';
+
+/** `top`. @internal */
+export class TopCommand extends StatusCommand {
+  static override paths = [['top']];
+  static override usage = Command.Usage({
+    description: 'show the status of hosts again and again',
+    examples: [['Every two seconds, ten times', '$0 top --interval-ms 2000 --count 10']],
+  });
+
+  intervalMs = Option.String('--interval-ms', '1000', {
+    description: 'time between two looks, in milliseconds',
+    validator: isNumber(),
+  });
+
+  count = Option.String('--count', String(Number.MAX_SAFE_INTEGER), {
+    description: 'how many looks; until it is interrupted when left out',
+    validator: isNumber(),
+  });
+
+  override async execute(): Promise<number> {
+    for (let look = 0; look < this.count; look += 1) {
+      if (look > 0) await new Promise((resolve) => setTimeout(resolve, this.intervalMs));
+      if (!this.json) this.context.stdout.write(CLEAR_SCREEN);
+      await this.printStatus();
+    }
+    return exitCodes.ok;
   }
 }
 
@@ -178,7 +214,7 @@
       ({ answer }) => answer.isOk() && (answer.value as HostStatus).hostId === this.hostId,
     );
     if (target === undefined) {
-      return this.fail(`none of ${this.operators.join(', ')} is ${this.hostId}`);
+      return this.fail(`none of ${this.listAddresses().join(', ')} is ${this.hostId}`);
     }
     const reply = await askHost(target.address, this.token, 'POST', '/v1/drain');
     if (reply.isErr()) return this.fail(reply.error);
--- a/apps/cli/src/lib/runCli.test.ts
+++ b/apps/cli/src/lib/runCli.test.ts
@@ -67,6 +67,11 @@
   assert.doesNotMatch(output, /\n {4}at /);
 });
 
+test('named hosts are asked alone, where the usual address was once asked beside them', async () => {
+  const { output } = await run('status', '--operators', '127.0.0.1:1');
+  assert.doesNotMatch(output, /8081/);
+});
+
 test('help names every command', async () => {
   const { output } = await run('--help');
   for (const name of [
@@ -75,6 +80,7 @@
     'diff',
     'submit',
     'status',
+    'top',
     'explain',
     'drain',
     'completion',
--- a/apps/cli/src/lib/runCli.ts
+++ b/apps/cli/src/lib/runCli.ts
@@ -2,7 +2,7 @@
 
 import { CompletionCommand } from './CompletionCommand.js';
 import { CheckCommand, DiffCommand, MergeCommand } from './folderCommands.js';
-import { DrainCommand, ExplainCommand, StatusCommand } from './hostCommands.js';
+import { DrainCommand, ExplainCommand, StatusCommand, TopCommand } from './hostCommands.js';
 import { SubmitCommand } from './SubmitCommand.js';
 
 /**
@@ -24,6 +24,7 @@
   cli.register(DiffCommand);
   cli.register(SubmitCommand);
   cli.register(StatusCommand);
+  cli.register(TopCommand);
   cli.register(ExplainCommand);
   cli.register(DrainCommand);
   cli.register(CompletionCommand);
