Distrust connections after a pause; share a large pool by a sample; late bookings stay unsent

Cause: a process that wakes after a pause still held connections that others may have forgotten, and could write a booking whose deadline, and caller, were gone. At more than nine hosts a host hears only its neighbours, and would have taken their part of a pool for the whole. Change: a watch for pauses replaces all connections; the check right before a write that may not be repeated also asks for the deadline; a sample of a large fleet shares its part of the pool, and own slots are then even.

--- a/apps/bench/src/lib/runBench.ts
+++ b/apps/bench/src/lib/runBench.ts
@@ -25,7 +25,7 @@
 /** Runs one experiment; the result is printed as it is. */
 type RunExperiment = (seed: number, reportFolder: string | undefined) => Promise<object>;
 
-const fixed = (scenario: Scenario) => () => scenario;
+const createFixed = (scenario: Scenario) => () => scenario;
 
 /** Leaves out what only plots need. */
 const omitTimeline = (key: string, value: unknown) => (key === 'timeline' ? undefined : value);
@@ -40,13 +40,13 @@
   };
 
 const experiments: Readonly<Record<string, RunExperiment>> = {
-  surge: createExperiment(fixed(surge)),
-  'flood-low': createExperiment(fixed(floodLow)),
-  'flood-urgent': createExperiment(fixed(floodUrgent)),
-  'large-caller': createExperiment(fixed(largeCaller)),
-  'slow-stage': createExperiment(fixed(slowStage)),
-  'dead-server': createExperiment(fixed(deadServer)),
-  silent: createExperiment(fixed(silent)),
+  surge: createExperiment(createFixed(surge)),
+  'flood-low': createExperiment(createFixed(floodLow)),
+  'flood-urgent': createExperiment(createFixed(floodUrgent)),
+  'large-caller': createExperiment(createFixed(largeCaller)),
+  'slow-stage': createExperiment(createFixed(slowStage)),
+  'dead-server': createExperiment(createFixed(deadServer)),
+  silent: createExperiment(createFixed(silent)),
   affinity: createExperiment(createAffinityScenario),
   overhead: runOverhead,
   'config-change': runConfigChange,
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto';
 
 import {
+  createPauseWatch,
   createRandom,
   createSupervisor,
   createSystemClock,
@@ -15,7 +16,12 @@
 } from '@endiveferry/base';
 import { createFleetDemand, createWorkspaceLimiter } from '@endiveferry/admission';
 import { createClaims } from '@endiveferry/claims';
-import { choosePeers, createPeerNetwork, type PeerNetwork } from '@endiveferry/peers';
+import {
+  choosePeers,
+  createPeerNetwork,
+  isFullyLinked,
+  type PeerNetwork,
+} from '@endiveferry/peers';
 import { createOrderKeeper } from '@endiveferry/orders';
 import { createPipelineRunner, createPoolSet } from '@endiveferry/pipeline';
 import { isLoopback, type ProcessSettings } from '@endiveferry/settings';
@@ -35,6 +41,8 @@
 
 const DEFAULT_READINESS_GRACE_MS = 3_000;
 const READY_POLL_MS = 20;
+/** A process that stood still for so long distrusts its connections. */
+const SHORTEST_PAUSE_MS = 2_000;
 /** Shortest time for which a forwarded request's outcome is waited for. */
 const MIN_FORWARD_TIMEOUT_MS = 50;
 
@@ -122,6 +130,7 @@
     random,
     logger,
     fleetDemand,
+    hearsAllHosts: isFullyLinked,
     supervisor: supervisor.createChild('pools'),
   });
   const limiter = createWorkspaceLimiter({
@@ -254,6 +263,13 @@
     drain: () => void lifecycle.drain(),
   });
 
+  /** Views expire by themselves; connections may have been forgotten by the other side. */
+  function distrustConnections(pausedMs: number): void {
+    logger.warn('this process stood still; its connections are replaced', { pausedMs });
+    pools.renewConnections();
+    network.renewLinks();
+  }
+
   async function stopEverything(): Promise<void> {
     await callers.close();
     await supervisor.stop();
@@ -284,6 +300,7 @@
     peers: network.address,
     operators: await operators.listen(settings.operators.address),
   };
+  supervisor.spawn('pauses', createPauseWatch(clock, SHORTEST_PAUSE_MS, distrustConnections));
   network.setPeers(listEntries(settings.peers.seeds).map(([id]) => id));
   supervisor.spawn('readiness', (signal) => lifecycle.becomeReady(signal));
   const source = await startConfigurationSource({
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -8,6 +8,7 @@
   type Clock,
 } from './lib/clock.js';
 export { createFakeClock, type FakeClock } from './lib/createFakeClock.js';
+export { createPauseWatch } from './lib/createPauseWatch.js';
 export { createRandom, type Random } from './lib/createRandom.js';
 export {
   createStateMachine,
--- a/packages/claims/src/lib/createClaims.ts
+++ b/packages/claims/src/lib/createClaims.ts
@@ -121,7 +121,7 @@
   return Buffer.from(parseUuid(key)).readUIntBE(0, UUID_TIME_BYTES);
 }
 
-function hashBody(request: KeyedRequest): string {
+function computeBodyHash(request: KeyedRequest): string {
   return createHash('sha256')
     .update(JSON.stringify([request.pipelineId, request.body]))
     .digest('base64url');
@@ -131,7 +131,7 @@
   return `this host cannot prove that the key was not used before (${obstacle})`;
 }
 
-const scopeKey = (request: KeyedRequest) => `${request.workspaceId}\u0000${request.key}`;
+const buildScopedKey = (request: KeyedRequest) => `${request.workspaceId}\u0000${request.key}`;
 
 /**
  * Creates the claims of one process.
@@ -167,7 +167,7 @@
       });
     }
     if (isExpired(issued)) return Promise.resolve(createUnproven('the key has expired'));
-    return keys.registry.runOnce(scopeKey(request), hashBody(request), () =>
+    return keys.registry.runOnce(buildScopedKey(request), computeBodyHash(request), () =>
       options.execute(request, () => !isClosed),
     );
   }
@@ -180,8 +180,8 @@
   }
 
   function runMadeUp(request: KeyedRequest, bornAtMs: number): Promise<KeyedOutcome> {
-    const key = scopeKey(request);
-    const bodyHash = hashBody(request);
+    const key = buildScopedKey(request);
+    const bodyHash = computeBodyHash(request);
     const mayRun = () => !isClosed && view.findObstacle(key, bornAtMs) === undefined;
     if (ownKeys.hasRecord(key) || mayRun()) {
       return ownKeys.runOnce(key, bodyHash, () => options.execute(request, mayRun));
@@ -221,7 +221,7 @@
   function findTarget(request: KeyedRequest): HostId | undefined {
     const issued = parseIssuedKey(request.key);
     if (issued === undefined) {
-      return findBirth(request.key) === undefined ? hostId : view.findHome(scopeKey(request));
+      return findBirth(request.key) === undefined ? hostId : view.findHome(buildScopedKey(request));
     }
     return issuedKeys.has(issued.processId) ? hostId : findIssuedHome(issued);
   }
--- a/packages/orders/src/lib/createOrderKeeper.ts
+++ b/packages/orders/src/lib/createOrderKeeper.ts
@@ -79,7 +79,7 @@
 }
 
 /** Names an engine among the keys that have a home. */
-const keyOf = (serverId: BackendServerId) => `order ${serverId}`;
+const buildKey = (serverId: BackendServerId) => `order ${serverId}`;
 
 /**
  * Creates the keeper and starts its task. One host is responsible for each engine, the home of its
@@ -99,7 +99,7 @@
   });
 
   const isResponsible = (serverId: BackendServerId) =>
-    view.findObstacle(keyOf(serverId), clock.wallTime()) === undefined;
+    view.findObstacle(buildKey(serverId), clock.wallTime()) === undefined;
 
   function isRecent(serverId: BackendServerId): boolean {
     return clock.now() - (sentAt.get(serverId) ?? -Infinity) < REPEAT_AFTER_MS;
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,5 @@
 /** Links between hosts: framing, heartbeats, and requests from host to host. */
-export { choosePeers } from './lib/choosePeers.js';
+export { choosePeers, isFullyLinked } from './lib/choosePeers.js';
 export {
   createPeerConnection,
   type HandlePeerRequest,
--- a/packages/peers/src/lib/choosePeers.ts
+++ b/packages/peers/src/lib/choosePeers.ts
@@ -3,6 +3,17 @@
 /** Fleets up to this size are linked fully. */
 const FULL_MESH_HOSTS = 9;
 
+/**
+ * Tells whether all hosts of a fleet are linked with each other.
+ *
+ * @param hostCount - the size of the fleet
+ * @returns whether links are full
+ * @public
+ */
+export function isFullyLinked(hostCount: number): boolean {
+  return hostCount <= FULL_MESH_HOSTS;
+}
+
 /**
  * Chooses the hosts that a host keeps links to: all of a small fleet, else those at doubling
  * distances on a ring of all hosts, and its two neighbours in its own availability zone. Links per
@@ -18,7 +29,7 @@
   hosts: ReadonlyMap<HostId, AvailabilityZoneId>,
 ): readonly HostId[] {
   const others = [...hosts.keys()].filter((id) => id !== hostId);
-  if (hosts.size <= FULL_MESH_HOSTS) return others;
+  if (isFullyLinked(hosts.size)) return others;
   const ring = sortByHash([...hosts.keys()]);
   const zone = hosts.get(hostId);
   const zoneRing = ring.filter((id) => hosts.get(id) === zone);
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -97,6 +97,8 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerFailure>>;
+  /** Closes all links, to open new ones; this process stood still and cannot trust them. */
+  renewLinks(): void;
   /** Sends heartbeats at once, because there is news. */
   sendHeartbeats(): void;
   readonly listLinks: () => readonly LinkStatus[];
@@ -300,6 +302,9 @@
         return err({ kind: 'not-sent', detail: describeError(error) });
       }
     },
+    renewLinks() {
+      for (const link of links.values()) link.connection?.destroy();
+    },
     sendHeartbeats() {
       for (const link of links.values()) link.wake();
     },
--- a/packages/pipeline/src/lib/createPoolSet.ts
+++ b/packages/pipeline/src/lib/createPoolSet.ts
@@ -65,6 +65,8 @@
   /** Takes over a new configuration or list of hosts; what runs goes on undisturbed. */
   update(configuration: Configuration, hosts: readonly HostId[]): void;
   setLeaving(serverIds: ReadonlySet<BackendServerId>): void;
+  /** Replaces all connections to backend servers. */
+  renewConnections(): void;
   findPool(poolId: PoolId): PoolRuntime | undefined;
   listPools(): readonly PoolRuntime[];
   /** What this host's callers want of the pools. */
@@ -84,6 +86,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly fleetDemand: FleetDemand;
+  /** Whether hosts of a fleet of this size all hear each other's demand. */
+  readonly hearsAllHosts: (hostCount: number) => boolean;
   readonly supervisor: Supervisor;
 }
 
@@ -102,6 +106,7 @@
   >();
   let configuration: Configuration | undefined;
   let hosts: readonly HostId[] = [];
+  let evenShares: ReadonlyMap<HostId, number> = new Map();
   let leaving: ReadonlySet<BackendServerId> = new Set();
 
   const listRanks = (): RankPolicy[] =>
@@ -118,9 +123,12 @@
       validUntil = clock.now() + BUDGET_VALIDITY_MS;
       const demands = new Map(fleetDemand.listPoolDemand(poolId));
       demands.set(hostId, demand.update());
-      const capacity = router.capacity();
+      const isWholeFleet = options.hearsAllHosts(hosts.length);
+      // The hosts heard are a sample of a large fleet; they share the part that falls to them.
+      const heardPart = isWholeFleet ? 1 : Math.min(1, demands.size / hosts.length);
+      const capacity = router.capacity() * heardPart;
       const shares = apportionSlots({ capacity, ranks: listRanks(), findWeight, demands });
-      router.setShares(shares);
+      router.setShares(isWholeFleet ? shares : evenShares);
       // A fleet that leaves no slot unused has a call waiting at each server; engines order those.
       const share = Math.round(shares.get(hostId) ?? 0) + SPARE_CALLS;
       budget = capacity === 0 ? 0 : Math.max(1, share);
@@ -172,6 +180,7 @@
     update(next, nextHosts) {
       configuration = next;
       hosts = nextHosts;
+      evenShares = new Map(hosts.map((id) => [id, 1]));
       for (const [poolId, pool] of pools) {
         if (next.pools[poolId] !== undefined) continue;
         pools.delete(poolId);
@@ -187,6 +196,9 @@
       leaving = serverIds;
       for (const pool of pools.values()) pool.router.setLeaving(serverIds);
     },
+    renewConnections() {
+      for (const pool of pools.values()) pool.router.renewConnections();
+    },
     findPool: (poolId) => pools.get(poolId),
     listPools: () => [...pools.values()],
     listDemand: () =>
--- a/packages/pipeline/src/lib/createUnaryHandler.ts
+++ b/packages/pipeline/src/lib/createUnaryHandler.ts
@@ -49,6 +49,11 @@
   return headers;
 }
 
+/** A process may have stood still since the call was begun: its caller has given up by then. */
+function maySend({ request, pool }: AttemptContext): boolean {
+  return pool.clock.now() <= request.deadlineAt && request.mayRun?.() !== false;
+}
+
 /**
  * Creates the handler of a kind of server that answers each call with one JSON document.
  *
@@ -71,7 +76,7 @@
           body: run.input,
           signal: stage.isIdempotent ? signal : AbortSignal.timeout(MAX_UNSAFE_CALL_MS),
           usesOwnConnection: usesOwnConnection || !stage.isIdempotent,
-          ...(stage.isIdempotent ? {} : { maySend: request.mayRun }),
+          ...(stage.isIdempotent ? {} : { maySend: () => maySend(run) }),
         });
         if (result.kind !== 'answered' || result.status !== 200) {
           return translateCallFailure(result, run.pool.settings().refusalStatuses);
--- a/packages/pipeline/src/lib/runStage.test.ts
+++ b/packages/pipeline/src/lib/runStage.test.ts
@@ -36,7 +36,15 @@
 
 /** What a backend server does with the next call that it is sent. */
 type Behaviour =
-  'answer' | 'refuse' | 'unreachable' | 'fail' | 'cut' | 'answer-to-another' | 'nonsense' | 'late';
+  | 'answer'
+  | 'refuse'
+  | 'unreachable'
+  | 'fail'
+  | 'cut'
+  | 'answer-to-another'
+  | 'nonsense'
+  | 'late'
+  | 'asks-first';
 
 const behaviours: readonly Behaviour[] = [
   'answer',
@@ -124,6 +132,13 @@
     if (behaviour === 'unreachable') {
       return { kind: 'not-sent', reason: 'connect-failed', detail: 'down' };
     }
+    if (behaviour === 'asks-first') {
+      // The process stands still between the begin of the call and its write.
+      clock.jump(DEADLINE_MS + 1);
+      if (call.maySend?.() === false) {
+        return { kind: 'not-sent', reason: 'key-unproven', detail: 'may no longer be sent' };
+      }
+    }
     counts.sent += 1;
     if (behaviour === 'refuse') return status(429);
     counts.started += 1;
@@ -300,6 +315,17 @@
   assert.equal(world.counts.started, 1);
 });
 
+test('a call that may not be repeated is not written after its deadline, as after a pause', async () => {
+  const world = createWorld({
+    kind: 'plain-service',
+    isIdempotent: false,
+    script: ['asks-first'],
+  });
+  const result = await world.run();
+  assert.equal(result.isErr() && result.error.execution, 'not-run');
+  assert.equal(world.counts.started, 0);
+});
+
 test('a slow call is hedged, and the first good answer is taken', async () => {
   const world = createWorld({ kind: 'plain-service', script: ['late', 'answer'] });
   const result = await world.run();
--- a/packages/routing/src/lib/createPoolRouter.ts
+++ b/packages/routing/src/lib/createPoolRouter.ts
@@ -91,6 +91,8 @@
   sendTo(serverId: BackendServerId, call: Call): Promise<CallResult | undefined>;
   /** Servers that said themselves that they leave. */
   readonly listReportedLeaving: () => readonly BackendServerId[];
+  /** Replaces all connections, because this process stood still and cannot trust them. */
+  renewConnections(): void;
   close(): Promise<void>;
 }
 
@@ -126,6 +128,7 @@
   const prefixSaving = createPrefixSaving();
   let listedLeaving: ReadonlySet<BackendServerId> = new Set();
   let staying: readonly BackendServerId[] = [];
+  let knownShares: ReadonlyMap<HostId, number> | undefined;
   let ownSlots: ReadonlyMap<BackendServerId, number> = new Map();
 
   const listStates = () => [...servers.values()].map(({ state }) => state);
@@ -225,6 +228,7 @@
 
   function applyLeaving(): void {
     for (const state of listStates()) state.setLeaving('list', listedLeaving.has(state.id));
+    knownShares = undefined;
     staying = listEntries(pool.backendServers)
       .filter(([id, settings]) => !settings.isLeaving && !listedLeaving.has(id))
       .map(([id]) => id);
@@ -267,6 +271,8 @@
       applyLeaving();
     },
     setShares(shares) {
+      if (shares === knownShares) return;
+      knownShares = shares;
       ownSlots = computeOwnSlots(hostId, shares, staying, pool.serverConcurrency);
     },
     reserve(request) {
@@ -308,6 +314,9 @@
       listStates()
         .filter((state) => state.isLeaving() && !listedLeaving.has(state.id))
         .map((state) => state.id),
+    renewConnections() {
+      for (const state of listStates()) state.connections.renew();
+    },
     async close() {
       await Promise.all([...servers.keys()].map((serverId) => removeServer(serverId)));
     },
