Pass successors on through all hosts; share limits by a sample; refuse a second hand-over

Cause: above nine hosts only those linked to a successor knew it, and a workspace's limit was held among neighbours as if they were the fleet. Reading the hand-over again showed that one that came twice would have made keys used since look unspent. Change: heartbeats carry successors with a generation, merged and passed on; a host's part of a limit is scaled by the part of the fleet it hears; a known process is not taken over again.

--- a/apps/daemon/src/lib/buildHeartbeat.ts
+++ b/apps/daemon/src/lib/buildHeartbeat.ts
@@ -5,6 +5,7 @@
 import type { PoolSet } from '@endiveferry/pipeline';
 
 import type { ControlState } from './createControlState.js';
+import type { SuccessorTable } from './createSuccessorTable.js';
 
 /** A workspace that offers fewer requests a second is left out of heartbeats. */
 const MIN_REPORTED_RATE = 0.01;
@@ -15,6 +16,7 @@
   readonly isDraining: boolean;
   readonly control: ControlState;
   readonly claims: Claims;
+  readonly successors: SuccessorTable;
   readonly pools: PoolSet;
   readonly demand: HostDemand;
 }
@@ -53,7 +55,7 @@
     configurationRevision: control.published()?.revision ?? 0,
     hostListRevision: control.hostListRevision(),
     hostListAsOf: control.hostListAsOfMs(),
-    takenOverProcesses: [...claims.listTakenOver()],
+    successors: sources.successors.list(claims.listTakenOver()),
     leavingServers: pools.listPools().flatMap(({ router }) => router.listReportedLeaving()),
     demand: { pools: listedPools, workspaces: [...demand.workspaces] },
   };
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -35,6 +35,7 @@
 import { createOperatorsListener } from './createOperatorsListener.js';
 import { createPeerHandlers } from './createPeerHandlers.js';
 import { createRequestService } from './createRequestService.js';
+import { createSuccessorTable } from './createSuccessorTable.js';
 import { readTlsKeys } from './readTlsKeys.js';
 import { registerGauges } from './registerGauges.js';
 import { startConfigurationSource } from './startConfigurationSource.js';
@@ -116,9 +117,13 @@
     onChange: applyControl,
     onConfirm: (asOfMs) => claims.view.confirm(asOfMs),
   });
+  const findLimits = () =>
+    control.configuration()?.limits ?? { clockSkewMs: 0, viewValidityMs: 0, keyRetentionMs: 0 };
+  const successors = createSuccessorTable(hostId, clock, () => findLimits().keyRetentionMs);
   const knowledge = createPeerHandlers({
     control,
     fleetDemand,
+    successors,
     findNetwork: () => network,
     findClaims: () => claims,
     onLeaving: applyLeaving,
@@ -136,17 +141,16 @@
   const limiter = createWorkspaceLimiter({
     clock,
     findLimits: (id) => control.configuration()?.workspaces[id]?.limits ?? {},
-    findHostShare: (id) => fleetDemand.findShare(hostId, id),
+    findHostShare: (id) => fleetDemand.findShare(hostId, id) * findHeardPart(),
   });
   const claims = createClaims({
     hostId,
     processId,
     secret: randomBytes(32).toString('hex'),
     clock,
-    findLimits: () =>
-      control.configuration()?.limits ?? { clockSkewMs: 0, viewValidityMs: 0, keyRetentionMs: 0 },
+    findLimits,
     findProcess: (id) => (id === hostId ? processId : knowledge.findProcess(id)),
-    findSuccessor: knowledge.findSuccessor,
+    findSuccessor: (id) => successors.findSuccessor(id),
     forward: (target, request) => {
       const timeoutMs = Math.max(MIN_FORWARD_TIMEOUT_MS, request.remainingMs);
       return network.request(target, 'forward-request', request, timeoutMs);
@@ -175,6 +179,13 @@
     stopEverything,
   });
 
+  /** The part of the fleet whose demand this host hears. */
+  function findHeardPart(): number {
+    const hostCount = control.listHosts().size;
+    if (isFullyLinked(hostCount)) return 1;
+    return Math.min(1, fleetDemand.countHosts() / hostCount);
+  }
+
   function applyControl(): void {
     const configuration = control.configuration();
     if (configuration === undefined) return;
@@ -206,7 +217,7 @@
     const demand = buildDemand(pools, limiter);
     fleetDemand.recordDemand(hostId, demand);
     const isDraining = lifecycle.state() !== 'ready';
-    return buildHeartbeat({ processId, isDraining, control, claims, pools, demand });
+    return buildHeartbeat({ processId, isDraining, control, claims, successors, pools, demand });
   }
 
   function findPeerAddress(id: HostId): string | undefined {
--- a/apps/daemon/src/lib/createPeerHandlers.ts
+++ b/apps/daemon/src/lib/createPeerHandlers.ts
@@ -11,6 +11,7 @@
 import { z } from 'zod';
 
 import type { ControlState } from './createControlState.js';
+import type { SuccessorTable } from './createSuccessorTable.js';
 
 const READ_TIMEOUT_MS = 5_000;
 
@@ -26,7 +27,6 @@
   /** Backend servers that some host has seen to be leaving. */
   readonly listLeavingServers: () => ReadonlySet<BackendServerId>;
   readonly findProcess: (hostId: HostId) => ProcessId | undefined;
-  readonly findSuccessor: (processId: ProcessId) => HostId | undefined;
   /** Hosts that answer and are not about to stop. */
   readonly listStaying: () => readonly HostId[];
   readonly handleRequest: HandleHostRequest;
@@ -40,6 +40,7 @@
 export interface PeerHandlersOptions {
   readonly control: ControlState;
   readonly fleetDemand: FleetDemand;
+  readonly successors: SuccessorTable;
   readonly findNetwork: () => PeerNetwork;
   readonly findClaims: () => Claims;
   /** Called when the set of leaving backend servers may have changed. */
@@ -56,7 +57,6 @@
 export function createPeerHandlers(options: PeerHandlersOptions): PeerKnowledge {
   const { control, fleetDemand, findNetwork, findClaims } = options;
   const heartbeats = new Map<HostId, Heartbeat>();
-  const successors = new Map<ProcessId, HostId>();
   const reading = new Set<PeerRequestKind>();
 
   /** Reads something newer from another host; one reading of a kind is enough at a time. */
@@ -99,7 +99,7 @@
     receiveHeartbeat(hostId, heartbeat) {
       heartbeats.set(hostId, heartbeat);
       fleetDemand.recordDemand(hostId, heartbeat.demand);
-      for (const processId of heartbeat.takenOverProcesses) successors.set(processId, hostId);
+      options.successors.merge(heartbeat.successors);
       options.onLeaving();
       if (heartbeat.configurationRevision > control.seenRevision()) {
         void readNewer(hostId, 'read-configuration', (body) => applyConfiguration(hostId, body));
@@ -113,7 +113,6 @@
     listLeavingServers: () =>
       new Set([...heartbeats.values()].flatMap((heartbeat) => heartbeat.leavingServers)),
     findProcess: (hostId) => heartbeats.get(hostId)?.processId,
-    findSuccessor: (processId) => successors.get(processId),
     listStaying: () =>
       findNetwork()
         .listLinks()
--- a/packages/admission/src/lib/createFleetDemand.ts
+++ b/packages/admission/src/lib/createFleetDemand.ts
@@ -28,6 +28,8 @@
   recordDemand(hostId: HostId, demand: HostDemand): void;
   /** Each live host's demand on a pool. */
   listPoolDemand(poolId: PoolId): ReadonlyMap<HostId, readonly SlotDemand[]>;
+  /** Hosts whose demand is known, this one included. */
+  readonly countHosts: () => number;
   /** A host's share of a workspace's demand, from 0 to 1. */
   findShare(hostId: HostId, workspaceId: WorkspaceId): number;
 }
@@ -63,6 +65,7 @@
         ]),
       );
     },
+    countHosts: () => listLive().length,
     findShare(hostId, workspaceId) {
       const rates = listLive().map(([id, demand]) => ({
         id,
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -9,6 +9,7 @@
   type HandOver,
   type HandOverPlan,
   type KeyedRequest,
+  type TakenOver,
 } from './lib/createClaims.js';
 export {
   createHomeView,
--- a/packages/claims/src/lib/createClaims.test.ts
+++ b/packages/claims/src/lib/createClaims.test.ts
@@ -276,6 +276,22 @@
   assert.deepEqual([world.runs.get(spent), world.runs.get(unspent)], [1, 1]);
 });
 
+test('a hand-over that comes twice does not make a key look unspent', async () => {
+  const world = await createStartedWorld();
+  const claims = world.findHost(hostB).claims;
+  const key = claims.issueKey(mill);
+  const stopped = world.findHost(hostB).processId;
+  const [plan] = claims.close([hostA]);
+  assert.ok(plan !== undefined);
+  world.hosts.delete(hostB);
+  world.successors.set(stopped, hostA);
+  for (let time = 0; time < 2; time += 1) {
+    world.findHost(hostA).claims.takeOver(plan.handOver);
+    await world.settle(world.submit(hostC, key));
+  }
+  assert.equal(world.runs.get(key), 1);
+});
+
 test('a key of another workspace, and one with another body, are refused', async () => {
   const world = await createStartedWorld();
   const foreign = world.findHost(hostA).claims.issueKey(workspaceIdSchema.parse('other'));
--- a/packages/claims/src/lib/createClaims.ts
+++ b/packages/claims/src/lib/createClaims.ts
@@ -49,7 +49,9 @@
 /** Validator of what a stopping host hands on. @public */
 export const handOverSchema = z.object({
   /** Absent when only answers to made-up keys are handed on. */
-  process: z.object({ processId: processIdSchema, secret: z.string() }).optional(),
+  process: z
+    .object({ processId: processIdSchema, secret: z.string(), generation: z.int() })
+    .optional(),
   records: z.array(recordSchema),
 });
 
@@ -93,6 +95,17 @@
   readonly execute: ExecuteKeyed;
 }
 
+/**
+ * A process whose issued keys this host has taken over.
+ *
+ * @public
+ */
+export interface TakenOver {
+  readonly processId: ProcessId;
+  /** How often its keys were handed on. */
+  readonly generation: number;
+}
+
 /**
  * Runs each key's request at most once across all hosts.
  *
@@ -111,10 +124,17 @@
   /** Runs no more keys, and builds what is to be handed on; see {@link HandOverPlan}. */
   close(hosts: readonly HostId[]): readonly HandOverPlan[];
   /** Processes whose keys this host has taken over. */
-  readonly listTakenOver: () => readonly ProcessId[];
+  readonly listTakenOver: () => readonly TakenOver[];
   readonly countRecords: () => number;
 }
 
+/** The keys that one process issued, where they may be used now. */
+interface IssuedKeys {
+  readonly secret: string;
+  readonly registry: KeyRegistry;
+  readonly generation: number;
+}
+
 /** Finds when a UUID of version 7 was made; undefined for any other key. */
 function findBirth(key: string): number | undefined {
   if (!isUuid(key) || findUuidVersion(key) !== 7) return undefined;
@@ -146,8 +166,8 @@
   const view = createHomeView(hostId, clock, findLimits);
   const createRegistry = () => createKeyRegistry(clock, () => findLimits().keyRetentionMs);
   const ownKeys = createRegistry();
-  const issuedKeys = new Map<ProcessId, { secret: string; registry: KeyRegistry }>([
-    [processId, { secret: options.secret, registry: createRegistry() }],
+  const issuedKeys = new Map<ProcessId, IssuedKeys>([
+    [processId, { secret: options.secret, registry: createRegistry(), generation: 0 }],
   ]);
   let isClosed = false;
 
@@ -239,9 +259,12 @@
 
   /** A process's issued keys stay together, so that the unspent ones can still be used. */
   function planIssued(hosts: readonly HostId[]): HandOverPlan[] {
-    return [...issuedKeys].map(([id, { secret, registry }]) => ({
+    return [...issuedKeys].map(([id, { secret, registry, generation }]) => ({
       hosts: computeRendezvousOrder(id, hosts),
-      handOver: { process: { processId: id, secret }, records: [...registry.listRecords()] },
+      handOver: {
+        process: { processId: id, secret, generation: generation + 1 },
+        records: [...registry.listRecords()],
+      },
     }));
   }
 
@@ -257,19 +280,25 @@
     runForwarded: runHere,
     view,
     takeOver({ process, records }) {
-      if (process !== undefined) {
-        const registry = createRegistry();
-        issuedKeys.set(process.processId, { secret: process.secret, registry });
-        for (const record of records) registry.addRecord(record);
+      if (process === undefined) {
+        for (const record of records) ownKeys.addRecord(record);
         return;
       }
-      for (const record of records) ownKeys.addRecord(record);
+      const { secret, generation } = process;
+      // A hand-over that comes twice must not make the keys used since look unspent.
+      if (issuedKeys.has(process.processId)) return;
+      const registry = createRegistry();
+      issuedKeys.set(process.processId, { secret, registry, generation });
+      for (const record of records) registry.addRecord(record);
     },
     close(hosts) {
       isClosed = true;
       return [...planIssued(hosts), ...planMadeUp(hosts)];
     },
-    listTakenOver: () => [...issuedKeys.keys()].filter((id) => id !== processId),
+    listTakenOver: () =>
+      [...issuedKeys]
+        .filter(([id]) => id !== processId)
+        .map(([id, { generation }]) => ({ processId: id, generation })),
     countRecords: () =>
       ownKeys.size() +
       [...issuedKeys.values()].reduce((sum, { registry }) => sum + registry.size(), 0),
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -14,5 +14,10 @@
   type PeerNetwork,
   type PeerNetworkOptions,
 } from './lib/createPeerNetwork.js';
-export { heartbeatSchema, type Heartbeat, type PeerRequestKind } from './lib/messages.js';
+export {
+  heartbeatSchema,
+  type Heartbeat,
+  type PeerRequestKind,
+  type Successor,
+} from './lib/messages.js';
 export type { TlsKeys } from './lib/openPeerSocket.js';
--- a/packages/peers/src/lib/createPeerNetwork.test.ts
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -27,7 +27,7 @@
   configurationRevision: 7,
   hostListRevision: 1,
   hostListAsOf: 0,
-  takenOverProcesses: [],
+  successors: [],
   leavingServers: [],
   demand: { pools: [], workspaces: [] },
 });
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -51,6 +51,16 @@
   processId: processIdSchema,
 });
 
+const successorSchema = z.object({
+  processId: processIdSchema,
+  hostId: hostIdSchema,
+  /** How often the keys were handed on; the highest is the one that counts. */
+  generation: z.int(),
+});
+
+/** Who answers for the keys of a process that stopped. @public */
+export type Successor = z.infer<typeof successorSchema>;
+
 /** Validator of a heartbeat; what is empty is left out on the wire. @public */
 export const heartbeatSchema = z.object({
   processId: processIdSchema,
@@ -59,8 +69,8 @@
   hostListRevision: z.int(),
   /** Wall-clock time at which the platform confirmed the list, in milliseconds since 1970. */
   hostListAsOf: z.number(),
-  /** Stopped processes whose issued keys this host has taken over. */
-  takenOverProcesses: z.array(processIdSchema).default([]),
+  /** Stopped processes and the hosts that took over their issued keys; passed on by all. */
+  successors: z.array(successorSchema).default([]),
   /** Backend servers that this host itself has seen to be leaving. */
   leavingServers: z.array(backendServerIdSchema).default([]),
   demand: z
@@ -97,12 +107,12 @@
  * @internal
  */
 export function compactHeartbeat(heartbeat: Heartbeat): z.input<typeof heartbeatSchema> {
-  const { takenOverProcesses, leavingServers, demand, ...rest } = heartbeat;
+  const { successors, leavingServers, demand, ...rest } = heartbeat;
   const { pools, workspaces } = demand;
   const hasDemand = pools.length > 0 || workspaces.length > 0;
   return {
     ...rest,
-    ...(takenOverProcesses.length > 0 ? { takenOverProcesses } : {}),
+    ...(successors.length > 0 ? { successors } : {}),
     ...(leavingServers.length > 0 ? { leavingServers } : {}),
     ...(hasDemand ? { demand } : {}),
   };
