Wake every paused process in the at-most-once property, so that long runs end

The test's world was wrong, not the product. Change: all wake-ups are kept; an old process may now wake after its successor started.

--- a/packages/claims/src/lib/createClaims.test.ts
+++ b/packages/claims/src/lib/createClaims.test.ts
@@ -370,7 +370,10 @@
   const world = await createStartedWorld();
   const keys: string[] = [];
   const told: Promise<{ key: string; outcome: KeyedOutcome; runsThen: number }>[] = [];
-  const wakes = new Map<HostId, () => void>();
+  const wakes = new Map<HostId, (() => void)[]>();
+  const wakeAll = (id: HostId) => {
+    for (const wake of wakes.get(id) ?? []) wake();
+  };
   const idOf = (index: number) => hostIds[index] ?? hostA;
   const handlers: {
     [Type in Step['type']]: (step: Extract<Step, { type: Type }>) => void | Promise<void>;
@@ -387,15 +390,17 @@
     },
     issue: ({ host }) => void keys.push(world.findHost(idOf(host)).claims.issueKey(mill)),
     'make-up': () => void keys.push(world.createKey()),
-    // A paused process that is restarted is gone: what it was about to send is never sent.
     restart: ({ host }) => void world.startHost(idOf(host)),
     synchronize: ({ host }) => world.synchronize(idOf(host)),
     pause({ host }) {
       const target = world.findHost(idOf(host));
-      target.pause ??= new Promise((resolve) => wakes.set(idOf(host), resolve));
+      target.pause ??= new Promise((resolve) => {
+        // A paused process may wake after another one has taken its place.
+        wakes.set(idOf(host), [...(wakes.get(idOf(host)) ?? []), resolve]);
+      });
     },
     wake({ host }) {
-      wakes.get(idOf(host))?.();
+      wakeAll(idOf(host));
       world.findHost(idOf(host)).pause = undefined;
     },
     publish: ({ hosts }) => world.publish(hosts.map(idOf)),
@@ -407,7 +412,7 @@
   };
   for (const step of steps)
     await (handlers[step.type] as (step: Step) => void | Promise<void>)(step);
-  for (const wake of wakes.values()) wake();
+  for (const id of hostIds) wakeAll(id);
   await world.clock.advance(limits.viewValidityMs);
   return { world, outcomes: await Promise.all(told) };
 }
