Make the log write lines; test listeners, TLS for callers and what the log holds

Cause: roarr reads its switch when it is loaded and throws every line away without it. No log line was ever written; the first test that looked for one found that.

--- /dev/null
+++ b/apps/daemon/src/lib/createListeners.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { request as requestTls } from 'node:https';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+
+import { processSettingsSchema } from '@endiveferry/settings';
+import { setLogWriter } from '@endiveferry/telemetry';
+
+import { createDaemon, type Daemon } from './createDaemon.js';
+
+setLogWriter(() => undefined);
+
+const ANY = '127.0.0.1:0';
+const OPERATORS_TOKEN = 'a-token-of-operators';
+const example = new URL('../../../../examples/urdimbre', import.meta.url).pathname;
+const fixture = (name: string) =>
+  new URL(`../../../../packages/peers/fixtures/${name}.pem`, import.meta.url).pathname;
+
+async function withDaemon(settings: object, run: (daemon: Daemon) => Promise<void>): Promise<void> {
+  const daemon = await createDaemon({
+    settings: processSettingsSchema.parse({
+      hostId: 'host-1',
+      availabilityZone: 'salto',
+      callers: { address: ANY },
+      peers: { address: ANY },
+      operators: { address: ANY },
+      platform: { folder: example },
+      logLevel: 'error',
+      ...settings,
+    }),
+    readinessGraceMs: 1,
+  });
+  try {
+    await run(daemon);
+  } finally {
+    await daemon.kill();
+  }
+}
+
+const get = (address: string, path: string, token?: string) =>
+  fetch(`http://${address}${path}`, {
+    headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
+  });
+
+test('operators need the token where there is one, balancers never do', () =>
+  withDaemon({ operators: { address: ANY, token: OPERATORS_TOKEN } }, async (daemon) => {
+    const { operators } = daemon.addresses;
+    assert.equal((await get(operators, '/v1/status')).status, 401);
+    assert.equal((await get(operators, '/metrics', 'wrong')).status, 401);
+    assert.equal((await get(operators, '/v1/status', OPERATORS_TOKEN)).status, 200);
+    assert.equal((await get(operators, '/healthz')).status, 200);
+  }));
+
+test('a folder with faults keeps a daemon from being ready, and the log says why', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'endiveferry-'));
+  await writeFile(join(folder, 'a.json'), '{ "colour": "green" }');
+  const lines: string[] = [];
+  setLogWriter((line) => lines.push(line));
+  await withDaemon({ platform: { folder } }, async (daemon) => {
+    assert.equal((await get(daemon.addresses.operators, '/readyz')).status, 503);
+  });
+  setLogWriter(() => undefined);
+  await rm(folder, { recursive: true });
+  assert.match(lines.join('\n'), /a\.json: \$\.colour: unknown key/);
+});
+
+test('callers are served over TLS where keys are set', () =>
+  withDaemon(
+    {
+      callers: {
+        address: ANY,
+        tls: { certificateFile: fixture('host-a'), keyFile: fixture('host-a.key') },
+      },
+    },
+    async (daemon) => {
+      const [ip = '', port = ''] = daemon.addresses.callers.split(':');
+      const status = await new Promise<number | undefined>((resolve, reject) => {
+        const call = requestTls(
+          { host: ip, port: Number(port), path: '/', rejectUnauthorized: false },
+          (response) => {
+            response.resume();
+            resolve(response.statusCode);
+          },
+        );
+        call.on('error', reject);
+        call.end();
+      });
+      assert.equal(status, 404);
+    },
+  ));
+
+test('the log has lines, which it once had not, and no token, key or body in them', async () => {
+  const lines: string[] = [];
+  setLogWriter((line) => lines.push(line));
+  await withDaemon({ logLevel: 'trace' }, async (daemon) => {
+    await daemon.waitUntilReady();
+    const body = JSON.stringify({ lot: 'a-secret-lot' });
+    await fetch(`http://${daemon.addresses.callers}/v1/pipelines/stock-lookup/requests`, {
+      method: 'POST',
+      headers: {
+        authorization: 'Bearer demo-taller-salto',
+        'idempotency-key': 'a-secret-key',
+        'endiveferry-deadline-ms': '100',
+      },
+      body,
+    });
+  });
+  setLogWriter(() => undefined);
+  const text = lines.join('\n');
+  assert.match(text, /"requestId"/);
+  assert.doesNotMatch(text, /demo-taller-salto|a-secret/);
+});
--- a/apps/daemon/src/lib/createRequestService.ts
+++ b/apps/daemon/src/lib/createRequestService.ts
@@ -161,7 +161,9 @@
     const { reason, execution, detail } = result.error;
     metrics.recordRequest({ ...outcome, failure: { reason, execution } });
     recordEvent('failed', { durationMs, reason, execution, detail });
-    logger.info('request failed', { requestId, durationMs, reason, execution, detail });
+    // A flood is refused thousands of times a second; metrics count that, and traces explain it.
+    const level = execution === 'not-run' ? 'debug' : 'info';
+    logger[level]('request failed', { requestId, durationMs, reason, execution, detail });
   }
 
   async function runAdmitted(
--- a/packages/telemetry/src/lib/createLogger.ts
+++ b/packages/telemetry/src/lib/createLogger.ts
@@ -1,4 +1,7 @@
 import type { HostId, RequestId, StageId } from '@endiveferry/base';
+// The order matters: see there.
+import './enableRoarr.js';
+
 import { ROARR, Roarr } from 'roarr';
 
 /** How severe a log line is. @public */
