Measure what a cached prompt saves against the low, and draw test ports without a pattern

Cause: affinity: prompts thought cached but evicted made the saving look like 21 to 40 ms where it is 64; own slots outbid the cache, and the spread evicted more (traced choice by choice). And two fleets started at once drew the same ports, since seeds next to each other begin alike. Change: the running low of cached prompts is compared; other hosts' slots cost less while the pool is not full; ports come from the system's randomness.

--- a/apps/bench/src/lib/createFleet.ts
+++ b/apps/bench/src/lib/createFleet.ts
@@ -1,3 +1,4 @@
+import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
 
 import {
@@ -34,6 +35,7 @@
 /** Below the ports that operating systems give out by themselves. */
 const FIRST_PEER_PORT = 10_000;
 const PEER_PORTS = 20_000;
+const MAX_SEED = 2 ** 31;
 
 /**
  * Real daemons before stand-ins, all in this process and on loopback.
@@ -141,7 +143,7 @@
   const platform = await startPlatformStandIn();
   let configuration = standIns.configuration;
   // Ports differ from run to run, so that two runs at once do not meet.
-  await placeHosts(configuration, options.hostCount ?? Infinity, createRandom(process.pid));
+  await placeHosts(configuration, options.hostCount ?? Infinity, createRandom(randomInt(MAX_SEED)));
   platform.publishConfiguration(configuration);
   platform.publishHosts(listLive(configuration));
   const daemons = new Map<HostId, Daemon>();
--- a/packages/routing/src/lib/chooseServer.ts
+++ b/packages/routing/src/lib/chooseServer.ts
@@ -130,7 +130,7 @@
     1,
     computeMean(eligible.map((server) => server.load() / server.capacity())),
   );
-  const otherSlotMs = OTHER_SLOT_COST * saturation ** 2 * typicalMs;
+  const otherSlotMs = OTHER_SLOT_COST * saturation ** 4 * typicalMs;
 
   /** Other hosts send such prompts there as well, whether or not this host has heard of it. */
   function estimateHitShare(server: ServerState): number {
--- a/packages/routing/src/lib/createPrefixSaving.ts
+++ b/packages/routing/src/lib/createPrefixSaving.ts
@@ -1,5 +1,7 @@
-/** Weight of the newest measurement in the running means. */
+/** Weight of the newest measurement in a running mean. */
 const GAIN = 0.05;
+/** Weight of a measurement above the running low of prompts thought to be cached. */
+const GAIN_ABOVE_LOW = 0.005;
 /** Prompts held to at least this part count as cached, those below the other one as not. */
 const CACHED_SHARE = 0.75;
 const UNCACHED_SHARE = 0.25;
@@ -18,12 +20,13 @@
   readonly estimate: () => number;
 }
 
-/** A running mean that starts with its first value. */
-function createMean() {
+/** A running mean that starts with its first value; values above it may weigh less. */
+function createMean(gainAbove: number) {
   let mean: number | undefined;
   return {
     add(value: number): void {
-      mean = mean === undefined ? value : mean + (value - mean) * GAIN;
+      const before = mean ?? value;
+      mean = before + (value - before) * (value > before ? gainAbove : GAIN);
     },
     get: () => mean,
   };
@@ -36,8 +39,10 @@
  * @internal
  */
 export function createPrefixSaving(): PrefixSaving {
-  const cached = createMean();
-  const uncached = createMean();
+  // Some prompts thought to be cached were evicted. Counting those in would make affinity look
+  // worthless, spread prompts, and so evict more.
+  const cached = createMean(GAIN_ABOVE_LOW);
+  const uncached = createMean(GAIN);
   return {
     record(hitShare, firstTokenMs) {
       if (hitShare >= CACHED_SHARE) cached.add(firstTokenMs);
