--- a/apps/daemon/src/lib/createCallersListener.ts
+++ b/apps/daemon/src/lib/createCallersListener.ts
@@ -23,6 +23,7 @@
 import type { RequestService, ServiceAnswer } from './createRequestService.js';
 import { parseCall, type ParsedCall } from './parseCall.js';
 import { readBody } from './readBody.js';
+import { sendJson } from './sendJson.js';
 
 /** Keys that one call may ask for. */
 const MAX_ISSUED_KEYS = 100;
@@ -46,11 +47,6 @@
   readonly isRefusing: () => boolean;
 }
 
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
-
 function sendProblem(response: ServerResponse, requestId: RequestId, failure: Failure): void {
   const { problem, headers } = buildProblem(requestId, failure);
   response.writeHead(problem.status, { 'content-type': 'application/problem+json', ...headers });
--- a/apps/daemon/src/lib/createOperatorsListener.ts
+++ b/apps/daemon/src/lib/createOperatorsListener.ts
@@ -1,5 +1,4 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
-import type { ServerResponse } from 'node:http';
 
 import { requestIdSchema } from '@endiveferry/base';
 import type { Metrics, TraceStore } from '@endiveferry/telemetry';
@@ -7,6 +6,7 @@
 
 import type { HostStatus } from './buildStatus.js';
 import { createHttpServer, type HttpServer } from './createHttpServer.js';
+import { sendJson } from './sendJson.js';
 
 /**
  * Options of the operators' listener.
@@ -23,11 +23,6 @@
   readonly drain: () => void;
 }
 
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
-
 function isSameSecret(first: string, second: string): boolean {
   const hash = (text: string) => createHash('sha256').update(text).digest();
   return timingSafeEqual(hash(first), hash(second));
--- /dev/null
+++ b/apps/daemon/src/lib/sendJson.ts
@@ -0,0 +1,14 @@
+import type { ServerResponse } from 'node:http';
+
+/**
+ * Sends a JSON document as the whole answer.
+ *
+ * @param response - the HTTP response
+ * @param status - its status
+ * @param body - the document
+ * @internal
+ */
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
--- a/packages/claims/src/lib/createClaims.test.ts
+++ b/packages/claims/src/lib/createClaims.test.ts
@@ -151,7 +151,7 @@
   };
 }
 
-const describe = (outcome: KeyedOutcome) =>
+const formatVerdict = (outcome: KeyedOutcome) =>
   outcome.kind === 'answer' ? 'answer' : outcome.execution;
 
 async function createStartedWorld() {
@@ -165,7 +165,7 @@
   for (const key of [world.createKeyOf(hostC), world.findHost(hostC).claims.issueKey(mill)]) {
     const both = [world.submit(hostA, key), world.submit(hostB, key)];
     const outcomes = await Promise.all(both.map((outcome) => world.settle(outcome)));
-    assert.deepEqual(outcomes.map(describe), ['answer', 'answer']);
+    assert.deepEqual(outcomes.map(formatVerdict), ['answer', 'answer']);
     assert.equal(world.runs.get(key), 1);
   }
 });
@@ -177,7 +177,7 @@
   const first = await world.settle(world.submit(hostA, key));
   world.lostAnswers.clear();
   const second = await world.settle(world.submit(hostA, key));
-  assert.deepEqual([describe(first), describe(second)], ['may-have-run', 'answer']);
+  assert.deepEqual([formatVerdict(first), formatVerdict(second)], ['may-have-run', 'answer']);
   assert.equal(world.runs.get(key), 1);
 });
 
@@ -190,7 +190,7 @@
   world.synchronize(hostB);
   for (const key of [issued, madeUp]) {
     const again = await world.settle(world.submit(hostA, key));
-    assert.equal(describe(again), 'may-have-run');
+    assert.equal(formatVerdict(again), 'may-have-run');
     assert.equal(world.runs.get(key), 1);
   }
 });
@@ -208,7 +208,7 @@
   await world.settle(world.submit(hostA, key));
   wake();
   const outcome = await world.settle(paused);
-  assert.equal(describe(outcome), 'not-run');
+  assert.equal(formatVerdict(outcome), 'not-run');
   assert.ok((world.runs.get(key) ?? 0) <= 1);
 });
 
@@ -222,7 +222,7 @@
     await world.settle(world.submit(hostB, key)),
     await world.settle(world.submit(hostC, key)),
   ];
-  assert.ok((world.runs.get(key) ?? 0) <= 1, outcomes.map(describe).join());
+  assert.ok((world.runs.get(key) ?? 0) <= 1, outcomes.map(formatVerdict).join());
 });
 
 test('hazard: a partition with callers on both sides', async () => {
@@ -238,7 +238,7 @@
   const key = world.findHost(hostB).claims.issueKey(mill);
   const cutOff = await world.settle(world.submit(hostA, key));
   const served = await world.settle(world.submit(hostC, key));
-  assert.deepEqual([describe(cutOff), describe(served)], ['may-have-run', 'answer']);
+  assert.deepEqual([formatVerdict(cutOff), formatVerdict(served)], ['may-have-run', 'answer']);
   assert.equal(world.runs.get(key), 1);
 });
 
@@ -271,7 +271,7 @@
   world.synchronize(hostC);
   await world.settle(world.submit(hostA, key));
   const second = await world.settle(world.submit(hostC, key));
-  assert.equal(describe(second), 'may-have-run');
+  assert.equal(formatVerdict(second), 'may-have-run');
   assert.equal(world.runs.get(key), 1);
 });
 
@@ -289,7 +289,7 @@
   world.successors.set(stopped, hostA);
   const replay = await world.settle(world.submit(hostC, spent));
   const late = await world.settle(world.submit(hostC, unspent));
-  assert.deepEqual([describe(replay), describe(late)], ['answer', 'answer']);
+  assert.deepEqual([formatVerdict(replay), formatVerdict(late)], ['answer', 'answer']);
   assert.deepEqual([world.runs.get(spent), world.runs.get(unspent)], [1, 1]);
 });
 
@@ -312,8 +312,8 @@
 test('a key of another workspace, and one with another body, are refused', async () => {
   const world = await createStartedWorld();
   const foreign = world.findHost(hostA).claims.issueKey(workspaceIdSchema.parse('other'));
-  assert.equal(describe(await world.settle(world.submit(hostB, foreign))), 'not-run');
-  assert.equal(describe(await world.settle(world.submit(hostB, 'chosen-at-will'))), 'not-run');
+  assert.equal(formatVerdict(await world.settle(world.submit(hostB, foreign))), 'not-run');
+  assert.equal(formatVerdict(await world.settle(world.submit(hostB, 'chosen-at-will'))), 'not-run');
 });
 
 type Step =
