Send keyed requests of the experiments to another host than the one that issued the key

Cause: host-kill reported no keyed request as unsure, before or after: each key was used at the host that issued it, so that nothing was ever forwarded. Change: the key comes from a host drawn by itself.

--- a/apps/bench/src/lib/runLoad.ts
+++ b/apps/bench/src/lib/runLoad.ts
@@ -100,12 +100,15 @@
   const samples: Promise<Sample>[] = [];
   const startedAt = performance.now();
 
+  /** The host that issues a key is seldom the one that the request then comes to. */
+  const fetchKeyFrom = (flow: Flow) => fetchKey(chooseAddress(options), flow.token);
+
   async function send(flow: Flow, number: number): Promise<Sample> {
     const sentAt = performance.now();
     const address = chooseAddress(options);
     let reply: FleetReply | undefined;
     try {
-      const key = flow.isKeyed === true ? await fetchKey(address, flow.token) : undefined;
+      const key = flow.isKeyed === true ? await fetchKeyFrom(flow) : undefined;
       reply = await callFleet({
         address,
         pipeline: flow.pipeline,
