--- a/apps/bench/src/lib/standins/createEngineKind.ts
+++ b/apps/bench/src/lib/standins/createEngineKind.ts
@@ -85,14 +85,14 @@
 /** Loading a model takes this long. */
 const LOAD_MS = 500;
 
-/** The models of one engine. It refuses an order that carries an old fencing number. */
-function createOrderBook(models: readonly string[]) {
+/** The models of one engine. Some engines refuse an order that carries an old fencing number. */
+function createOrderBook(models: readonly string[], ignoresFencing: boolean) {
   let loaded = [...models];
   let highest = 0;
   return {
     listLoaded: (): readonly string[] => loaded,
     take({ fencingNumber, models: wanted }: Order): boolean {
-      if (fencingNumber < highest) return false;
+      if (fencingNumber < highest && !ignoresFencing) return false;
       highest = fencingNumber;
       const ids = wanted.map(({ id }) => id);
       loaded = loaded.filter((id) => ids.some((other) => other === id));
@@ -102,6 +102,22 @@
   };
 }
 
+/** Generations whose state an engine can hand to another one; the oldest are forgotten. */
+const MAX_KEPT_GENERATIONS = 256;
+
+/** What an engine knows of the generations it works on, in place of real attention state. */
+function createGenerationMemory() {
+  const kept = new Map<string, { request_id: string; prompt: string; max_tokens: number }>();
+  return {
+    keep({ requestId, prompt, maxTokens }: CompletionBody): void {
+      kept.set(requestId, { request_id: requestId, prompt, max_tokens: maxTokens });
+      const [oldest] = kept.keys();
+      if (kept.size > MAX_KEPT_GENERATIONS && oldest !== undefined) kept.delete(oldest);
+    },
+    find: (requestId: string) => kept.get(requestId),
+  };
+}
+
 interface CompletionBody {
   readonly requestId: string;
   readonly prompt: string;
@@ -139,6 +155,7 @@
  * @param counts - where cache hits are counted
  * @param models - the models that it has loaded
  * @param tokenIntervalMs - time between two tokens, in milliseconds
+ * @param ignoresFencing - whether it takes orders with old fencing numbers
  * @returns the kind
  * @internal
  */
@@ -147,9 +164,11 @@
   counts: CacheCounts,
   models: readonly string[],
   tokenIntervalMs: number,
+  ignoresFencing: boolean,
 ): StandInKind {
   const cache = createPromptCache(counts);
-  const orders = createOrderBook(models);
+  const orders = createOrderBook(models, ignoresFencing);
+  const memory = createGenerationMemory();
   const cancelled = new Set<string>();
 
   async function generate(
@@ -158,6 +177,7 @@
     wait: (ms: number) => Promise<void>,
     faults: Faults,
   ): Promise<void> {
+    memory.keep(body);
     const missingBlocks = cache.load(body.prompt);
     await wait(PREFILL_BASE_MS + missingBlocks * PREFILL_MS_PER_BLOCK);
     call.response.writeHead(200, { 'content-type': 'text/event-stream' });
@@ -184,6 +204,17 @@
         sendJson(call.response, orders.take(call.body as unknown as Order) ? 202 : 409, {});
         return true;
       }
+      if (call.path === '/v1/kv/export') {
+        const exported = memory.find(parseBody(call).requestId);
+        sendJson(call.response, exported === undefined ? 404 : 200, exported ?? {});
+        return true;
+      }
+      if (call.path === '/v1/kv/import') {
+        memory.keep(parseBody(call));
+        cache.load(parseBody(call).prompt);
+        sendJson(call.response, 202, {});
+        return true;
+      }
       if (call.path !== '/v1/cancel') return false;
       cancelled.add(parseBody(call).requestId);
       sendJson(call.response, 202, {});
--- a/apps/bench/src/lib/standins/startStandIns.ts
+++ b/apps/bench/src/lib/standins/startStandIns.ts
@@ -39,6 +39,7 @@
   counts: CacheCounts,
   models: readonly string[],
   tokenIntervalMs: number,
+  ignoresFencing: boolean,
 ) => StandInKind;
 
 const kinds: Readonly<Record<PoolKind, CreateKind>> = {
@@ -77,7 +78,15 @@
         maxQueued: pool.serverConcurrency * QUEUE_FACTOR,
         ledger,
         random,
-        createKind: () => kinds[pool.kind](random, cacheCounts, settings.models, tokenIntervalMs),
+        createKind: () =>
+          kinds[pool.kind](
+            random,
+            cacheCounts,
+            settings.models,
+            tokenIntervalMs,
+            // Both sorts of engine stand in each pool.
+            members.length % 2 === 1,
+          ),
       });
       settings.address = server.address;
       servers.set(serverId, server);
