--- a/apps/cli/bin/endiveferry.js
+++ b/apps/cli/bin/endiveferry.js
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
-import { runCli } from '@endiveferry/cli';
+import { runCliProcess } from '@endiveferry/cli';
 
-process.exitCode = await runCli(process.argv.slice(2));
+await runCliProcess(process.argv.slice(2));
--- a/apps/cli/src/index.ts
+++ b/apps/cli/src/index.ts
@@ -1,2 +1,3 @@
 /** The command-line tool. */
 export { runCli } from './lib/runCli.js';
+export { runCliProcess } from './lib/runCliProcess.js';
