--- a/apps/daemon/src/lib/createControlState.test.ts
+++ b/apps/daemon/src/lib/createControlState.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { createFakeClock, hostIdSchema, readPropertyOptions } from '@endiveferry/base';
+import { hostIdSchema, readPropertyOptions } from '@endiveferry/base';
 import { hostListSchema } from '@endiveferry/platform';
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 import fc from 'fast-check';
@@ -23,7 +23,6 @@
   const confirmed: number[] = [];
   let changes = 0;
   const control = createControlState({
-    clock: createFakeClock(),
     logger: createLogger(hostIdSchema.parse('host-1'), 'error'),
     onChange: () => (changes += 1),
     onConfirm: (asOfMs) => confirmed.push(asOfMs),
--- a/apps/daemon/src/lib/createControlState.ts
+++ b/apps/daemon/src/lib/createControlState.ts
@@ -2,7 +2,6 @@
   listEntries,
   type AvailabilityZoneId,
   type BackendServerId,
-  type Clock,
   type HostId,
 } from '@endiveferry/base';
 import type { HostList, PublishedConfiguration } from '@endiveferry/platform';
@@ -47,8 +46,6 @@
   readonly listHosts: () => ReadonlyMap<HostId, AvailabilityZoneId>;
   /** Backend servers that the platform's list says are leaving. */
   readonly listLeavingServers: () => ReadonlySet<BackendServerId>;
-  /** Monotonic time at which the revision in force was applied, in milliseconds. */
-  readonly appliedAt: () => number | undefined;
 }
 
 /**
@@ -57,7 +54,6 @@
  * @internal
  */
 export interface ControlStateOptions {
-  readonly clock: Clock;
   readonly logger: Logger;
   /** Called after anything changed that others act on. */
   readonly onChange: () => void;
@@ -73,13 +69,12 @@
  * @internal
  */
 export function createControlState(options: ControlStateOptions): ControlState {
-  const { clock, logger } = options;
+  const { logger } = options;
   let published: PublishedConfiguration | undefined;
   let configuration: Configuration | undefined;
   let rejected: RejectedRevision | undefined;
   let hostList: HostList | undefined;
   let hostListAsOfMs = 0;
-  let appliedAt: number | undefined;
 
   const seenRevision = () => Math.max(published?.revision ?? 0, rejected?.revision ?? 0);
   const hostListRevision = () => hostList?.revision ?? 0;
@@ -109,7 +104,6 @@
       }
       published = next;
       configuration = checked.value;
-      appliedAt = clock.now();
       logger.info('a configuration revision is in force', { revision: next.revision, source });
       options.onChange();
     },
@@ -150,6 +144,5 @@
           .filter(([, { state }]) => state === 'leaving')
           .map(([id]) => id),
       ),
-    appliedAt: () => appliedAt,
   };
 }
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -112,7 +112,6 @@
   let peerKeys = readTlsKeys(settings.peers.tls);
 
   const control = createControlState({
-    clock,
     logger,
     onChange: applyControl,
     onConfirm: (asOfMs) => claims.view.confirm(asOfMs),
--- a/apps/daemon/src/lib/startConfigurationSource.ts
+++ b/apps/daemon/src/lib/startConfigurationSource.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Random, Supervisor } from '@endiveferry/base';
-import { createPlatformClient } from '@endiveferry/platform';
+import { startPlatformClient } from '@endiveferry/platform';
 import {
   checkConfiguration,
   formatFault,
@@ -73,7 +73,7 @@
     await reload();
     return { reload };
   }
-  createPlatformClient({
+  startPlatformClient({
     ...options,
     url: platform.url,
     listener: {
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,5 +1,4 @@
 /** Ids, verdicts, time, chance and the few helpers that every other package needs. */
-export { assertNever } from './lib/assertNever.js';
 export {
   createSystemClock,
   isAborted,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,8 +1,7 @@
 /** Reading and watching what the platform publishes. */
 export {
-  createPlatformClient,
-  type PlatformClient,
+  startPlatformClient,
   type PlatformClientOptions,
   type PlatformListener,
-} from './lib/createPlatformClient.js';
+} from './lib/startPlatformClient.js';
 export { hostListSchema, type HostList, type PublishedConfiguration } from './lib/messages.js';
--- a/packages/platform/src/lib/createPlatformClient.ts
+++ b/packages/platform/src/lib/startPlatformClient.ts
@@ -58,12 +58,6 @@
   readonly findHostListRevision: () => number;
 }
 
-/** What operators see of the platform client. @public */
-export interface PlatformClient {
-  /** Monotonic time of the last good answer; undefined before the first. */
-  readonly lastAnswerAt: () => number | undefined;
-}
-
 class PlatformError extends Error {}
 
 /**
@@ -71,12 +65,10 @@
  * After a failure each waits a random part of a doubling time, so that a fleet comes back spread out.
  *
  * @param options - see {@link PlatformClientOptions}
- * @returns the client
  * @public
  */
-export function createPlatformClient(options: PlatformClientOptions): PlatformClient {
+export function startPlatformClient(options: PlatformClientOptions): void {
   const { url, clock, random, logger, listener } = options;
-  let lastAnswerAt: number | undefined;
 
   async function readText(dispatcher: Dispatcher, path: string, timeoutMs: number) {
     const answer = await request(new URL(path, url), {
@@ -147,7 +139,6 @@
     for (let retryMs = FIRST_RETRY_MS; !signal.aborted;) {
       try {
         await read(agent);
-        lastAnswerAt = clock.now();
         retryMs = FIRST_RETRY_MS;
       } catch (error) {
         if (isAborted(signal)) return;
@@ -162,5 +153,4 @@
     watch('configuration', readConfiguration, signal),
   );
   options.supervisor.spawn('hosts', (signal) => watch('hosts', readHostList, signal));
-  return { lastAnswerAt: () => lastAnswerAt };
 }
