--- a/apps/daemon/src/index.ts
+++ b/apps/daemon/src/index.ts
@@ -3,3 +3,9 @@
 export { createDaemon, type Daemon, type DaemonOptions } from './lib/createDaemon.js';
 export type { DaemonState } from './lib/createLifecycle.js';
 export { runProcess } from './lib/runProcess.js';
+export {
+  createRelayHost,
+  type RelayHost,
+  type RelayHostOptions,
+} from './lib/relay/createRelayHost.js';
+export { runRelayProcess, type RelayProcessOptions } from './lib/relay/runRelayProcess.js';
--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -8,6 +8,7 @@
   forbidden: 403,
   'not-found': 404,
   'body-too-large': 413,
+  'headers-too-large': 431,
   'key-conflict': 422,
   'key-unproven': 409,
   'limit-reached': 429,
--- a/apps/daemon/src/lib/buildStatus.ts
+++ b/apps/daemon/src/lib/buildStatus.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, ProcessId } from '@endiveferry/base';
-import type { LinkStatus, PeerNetwork } from '@endiveferry/peers';
+import type { Heartbeat, LinkStatus, PeerNetwork } from '@endiveferry/peers';
 import type { PoolRuntime, PoolSet } from '@endiveferry/pipeline';
 import type { ServerStatus } from '@endiveferry/routing';
 import { formatFault } from '@endiveferry/settings';
@@ -14,7 +14,7 @@
  */
 export interface PeerStatus {
   readonly hostId: HostId;
-  readonly link: LinkStatus['state'];
+  readonly link: LinkStatus<Heartbeat>['state'];
   readonly processId: ProcessId | undefined;
   readonly isDraining: boolean | undefined;
   readonly configurationRevision: number | undefined;
@@ -68,11 +68,11 @@
   readonly activeRequests: number;
   readonly keyRecords: number;
   readonly control: ControlState;
-  readonly network: PeerNetwork;
+  readonly network: PeerNetwork<Heartbeat>;
   readonly pools: PoolSet;
 }
 
-function buildPeerStatus({ hostId, state, lastHeartbeat }: LinkStatus): PeerStatus {
+function buildPeerStatus({ hostId, state, lastHeartbeat }: LinkStatus<Heartbeat>): PeerStatus {
   return {
     hostId,
     link: state,
--- a/apps/daemon/src/lib/createControlState.test.ts
+++ b/apps/daemon/src/lib/createControlState.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 
 import { hostIdSchema, readPropertyOptions } from '@endiveferry/base';
-import { hostListSchema } from '@endiveferry/platform';
+import { hostListSchema } from '@endiveferry/directory';
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 import fc from 'fast-check';
 
--- a/apps/daemon/src/lib/createControlState.ts
+++ b/apps/daemon/src/lib/createControlState.ts
@@ -4,7 +4,7 @@
   type BackendServerId,
   type HostId,
 } from '@endiveferry/base';
-import type { HostList, PublishedConfiguration } from '@endiveferry/platform';
+import type { HostList, PublishedConfiguration } from '@endiveferry/directory';
 import {
   checkConfiguration,
   formatFault,
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -19,7 +19,9 @@
 import {
   choosePeers,
   createPeerNetwork,
+  heartbeatCodec,
   isFullyLinked,
+  type Heartbeat,
   type PeerNetwork,
 } from '@endiveferry/peers';
 import { createOrderKeeper } from '@endiveferry/orders';
@@ -227,7 +229,7 @@
     return isAllowed ? address : undefined;
   }
 
-  const network: PeerNetwork = await createPeerNetwork({
+  const network: PeerNetwork<Heartbeat> = await createPeerNetwork({
     hostId,
     processId,
     address: settings.peers.address,
@@ -238,6 +240,7 @@
     supervisor: supervisor.createChild('peers'),
     findAddress: findPeerAddress,
     isListed: (id) => control.configuration() === undefined || control.listHosts().has(id),
+    codec: heartbeatCodec,
     buildHeartbeat: buildOwnHeartbeat,
     onHeartbeat: knowledge.receiveHeartbeat,
     handleRequest: knowledge.handleRequest,
--- a/apps/daemon/src/lib/createHttpServer.ts
+++ b/apps/daemon/src/lib/createHttpServer.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerOptions } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 
@@ -14,6 +14,8 @@
 export interface HttpServer {
   /** The routes that it serves. */
   readonly app: Polka;
+  /** The server itself, for its timeouts. */
+  readonly server: Server;
   /** Listens, and tells the address in use. */
   listen(address: string): Promise<string>;
   /** Uses new TLS keys for connections from now on. */
@@ -29,20 +31,24 @@
  *
  * @param findKeys - the TLS keys in force; asked again at each reload
  * @param errorHandlers - what answers requests that have no route or whose handler throws
+ * @param serverOptions - limits and timeouts of connections
  * @returns the server, without routes yet
  * @internal
  */
 export function createHttpServer(
   findKeys: () => TlsKeys | undefined,
   errorHandlers: Pick<IOptions, 'onNoMatch' | 'onError'>,
+  serverOptions: ServerOptions = {},
 ): HttpServer {
   const keys = findKeys();
   const toContext = ({ certificate, key }: TlsKeys) => ({ cert: certificate, key });
-  const tlsServer = keys === undefined ? undefined : createTlsServer(toContext(keys));
-  const server: Server = tlsServer ?? createServer();
+  const tlsServer =
+    keys === undefined ? undefined : createTlsServer({ ...serverOptions, ...toContext(keys) });
+  const server: Server = tlsServer ?? createServer(serverOptions);
   const app = polka({ server, ...errorHandlers });
   return {
     app,
+    server,
     listen(address) {
       const { ip, port } = parseAddress(address);
       return new Promise((resolve, reject) => {
--- a/apps/daemon/src/lib/createLifecycle.ts
+++ b/apps/daemon/src/lib/createLifecycle.ts
@@ -1,6 +1,6 @@
 import { createStateMachine, isAborted, waitFor, type Clock, type HostId } from '@endiveferry/base';
 import type { Claims, HandOverPlan } from '@endiveferry/claims';
-import type { PeerNetwork } from '@endiveferry/peers';
+import type { Heartbeat, PeerNetwork } from '@endiveferry/peers';
 import type { Logger } from '@endiveferry/telemetry';
 
 import type { ControlState } from './createControlState.js';
@@ -39,7 +39,7 @@
   readonly control: ControlState;
   readonly claims: Claims;
   /** Read late, since the network is created after the lifecycle. */
-  readonly findNetwork: () => PeerNetwork;
+  readonly findNetwork: () => PeerNetwork<Heartbeat>;
   /** Hosts that can take over from this one. */
   readonly listStaying: () => readonly HostId[];
   readonly countActive: () => number;
--- a/apps/daemon/src/lib/createPeerHandlers.ts
+++ b/apps/daemon/src/lib/createPeerHandlers.ts
@@ -7,7 +7,7 @@
   PeerNetwork,
   PeerRequestKind,
 } from '@endiveferry/peers';
-import { hostListSchema } from '@endiveferry/platform';
+import { hostListSchema } from '@endiveferry/directory';
 import { z } from 'zod';
 
 import type { ControlState } from './createControlState.js';
@@ -41,7 +41,7 @@
   readonly control: ControlState;
   readonly fleetDemand: FleetDemand;
   readonly successors: SuccessorTable;
-  readonly findNetwork: () => PeerNetwork;
+  readonly findNetwork: () => PeerNetwork<Heartbeat>;
   readonly findClaims: () => Claims;
   /** Called when the set of leaving backend servers may have changed. */
   readonly onLeaving: () => void;
--- a/apps/daemon/src/lib/readBody.ts
+++ b/apps/daemon/src/lib/readBody.ts
@@ -4,17 +4,17 @@
 import { err, ok, type Result } from 'neverthrow';
 
 /**
- * Reads a JSON body of bounded size.
+ * Reads a body of bounded size.
  *
  * @param request - the HTTP request
  * @param maxBytes - the longest body taken, in bytes
- * @returns the body, or why it is refused
+ * @returns the bytes, or why they are refused
  * @internal
  */
-export async function readBody(
+export async function readRawBody(
   request: IncomingMessage,
   maxBytes: number,
-): Promise<Result<unknown, Failure>> {
+): Promise<Result<Buffer, Failure>> {
   const tooLarge = createRefusal('body-too-large', `the body is longer than ${maxBytes} bytes`);
   if (Number(request.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge);
   const chunks: Buffer[] = [];
@@ -25,8 +25,30 @@
       if (size > maxBytes) return err(tooLarge);
       chunks.push(chunk);
     }
-    return ok(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+    return ok(Buffer.concat(chunks));
   } catch (error) {
-    return err(createRefusal('bad-request', `the body is not JSON: ${describeError(error)}`));
+    return err(createRefusal('bad-request', `the body ended early: ${describeError(error)}`));
   }
 }
+
+/**
+ * Reads a JSON body of bounded size.
+ *
+ * @param request - the HTTP request
+ * @param maxBytes - the longest body taken, in bytes
+ * @returns the body, or why it is refused
+ * @internal
+ */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, Failure>> {
+  const bytes = await readRawBody(request, maxBytes);
+  return bytes.andThen((body): Result<unknown, Failure> => {
+    try {
+      return ok(JSON.parse(body.toString('utf8')));
+    } catch (error) {
+      return err(createRefusal('bad-request', `the body is not JSON: ${describeError(error)}`));
+    }
+  });
+}
--- /dev/null
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -0,0 +1,118 @@
+import type { BackendServerId, Clock, PoolId } from '@endiveferry/base';
+import {
+  createPieceDispatcher,
+  type Backends,
+  type PieceCall,
+  type PieceDispatcher,
+  type PiecesAnswer,
+  type ListedServer,
+  type RelayPool,
+  type WireProtocol,
+} from '@endiveferry/relay';
+import type { CallResult } from '@endiveferry/routing';
+import type { Logger } from '@endiveferry/telemetry';
+
+/** Time for giving results up, in milliseconds; their room comes back by itself if that fails. */
+const FREE_TIMEOUT_MS = 1_000;
+
+/** The dispatchers of all stage pools on this host. @internal */
+export interface Dispatchers {
+  readonly find: (poolId: PoolId) => PieceDispatcher | undefined;
+  /** Waiting times, in milliseconds, of dispatchers that have work. */
+  readonly listWaits: () => { readonly poolId: PoolId; readonly waitMs: number }[];
+  readonly countWaiting: () => number;
+  update(pools: ReadonlyMap<PoolId, RelayPool>, servers: readonly ListedServer[]): void;
+}
+
+/** Options of the dispatchers. @internal */
+export interface DispatchersOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly protocol: WireProtocol;
+  readonly backends: Backends;
+  readonly onGone: (serverId: BackendServerId) => void;
+  readonly mayRepeat: (poolId: PoolId) => boolean;
+}
+
+/**
+ * Creates the dispatchers of no pools.
+ *
+ * @param options - see {@link DispatchersOptions}
+ * @returns the dispatchers
+ * @internal
+ */
+export function createDispatchers(options: DispatchersOptions): Dispatchers {
+  const { clock, logger, protocol, backends } = options;
+  const dispatchers = new Map<PoolId, PieceDispatcher>();
+
+  function readResult(result: CallResult, count: number): PiecesAnswer {
+    if (result.kind !== 'answered') return { kind: 'failed', detail: result.detail };
+    const facts = protocol.readAnswer(result.status, result.headers);
+    if (facts.isMisdirected) return { kind: 'gone' };
+    if (facts.isRefusal) return { kind: 'full' };
+    const outcomes = protocol.readPiecesAnswer(result.body, count);
+    if (result.status === 200 && outcomes !== undefined) return { kind: 'answered', outcomes };
+    return { kind: 'failed', detail: `the backend server answered ${result.status}` };
+  }
+
+  async function sendPieces(
+    { serverId }: ListedServer,
+    pieces: readonly PieceCall[],
+    timeoutMs: number,
+  ): Promise<PiecesAnswer> {
+    const backend = backends.find(serverId);
+    if (backend === undefined) return { kind: 'gone' };
+    const result = await backend.connections.send({
+      ...protocol.buildPiecesCall(serverId, pieces),
+      signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+    });
+    return readResult(result, pieces.length);
+  }
+
+  function sendFree({ serverId }: ListedServer, handles: readonly string[]): void {
+    const backend = backends.find(serverId);
+    if (backend === undefined) return;
+    const call = protocol.buildFreeCall(serverId, handles);
+    const signal = AbortSignal.timeout(FREE_TIMEOUT_MS);
+    void backend.connections.send({ ...call, signal }).then((result) => {
+      if (result.kind === 'answered') return;
+      logger.debug('results could not be given up', {
+        backendServer: serverId,
+        count: handles.length,
+        detail: result.detail,
+      });
+    });
+  }
+
+  return {
+    find: (poolId) => dispatchers.get(poolId),
+    listWaits: () =>
+      [...dispatchers].flatMap(([poolId, dispatcher]) => {
+        const waitMs = Math.round(dispatcher.estimateWaitMs());
+        return waitMs > 0 ? [{ poolId, waitMs }] : [];
+      }),
+    countWaiting: () =>
+      [...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.countWaiting(), 0),
+    update(pools, servers) {
+      for (const [poolId, { stage }] of pools) {
+        if (stage === undefined) continue;
+        const dispatcher =
+          dispatchers.get(poolId) ??
+          createPieceDispatcher({
+            poolId,
+            clock,
+            logger,
+            sendPieces,
+            sendFree,
+            onGone: options.onGone,
+            mayRepeat: () => options.mayRepeat(poolId),
+          });
+        dispatchers.set(poolId, dispatcher);
+        dispatcher.update(
+          stage,
+          servers.filter((server) => server.poolId === poolId),
+        );
+      }
+    },
+  };
+}
--- /dev/null
+++ b/apps/daemon/src/lib/relay/createMetricsListener.ts
@@ -0,0 +1,20 @@
+import type { Metrics } from '@endiveferry/telemetry';
+
+import { createHttpServer, type HttpServer } from '../createHttpServer.js';
+
+/**
+ * Creates a listener that serves metrics at every path.
+ *
+ * @param metrics - the metrics
+ * @returns the listener, which does not listen yet
+ * @internal
+ */
+export function createMetricsListener(metrics: Pick<Metrics, 'format'>): HttpServer {
+  return createHttpServer(() => undefined, {
+    async onNoMatch(_request, response) {
+      const text = await metrics.format();
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(text);
+    },
+  });
+}
--- /dev/null
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -0,0 +1,240 @@
+import { randomBytes } from 'node:crypto';
+
+import {
+  computeRendezvousOrder,
+  createPauseWatch,
+  createRandom,
+  createSupervisor,
+  createSystemClock,
+  describeError,
+  hostIdSchema,
+  processIdSchema,
+  waitFor,
+  type BackendServerId,
+  type PoolId,
+} from '@endiveferry/base';
+import {
+  createBackends,
+  createBeliefs,
+  createFleet,
+  createRelayService,
+  createServerList,
+  createStageClient,
+  createTrustClock,
+  type Fleet,
+  type HostPlace,
+  type RelayService,
+  type SourceOptions,
+  type StoreListener,
+  type WireProtocol,
+} from '@endiveferry/relay';
+import { createLogger, createMetrics } from '@endiveferry/telemetry';
+
+import { createDispatchers } from './createDispatchers.js';
+import { createMetricsListener } from './createMetricsListener.js';
+import { createReadinessListener } from './createReadinessListener.js';
+import { createRelayListener } from './createRelayListener.js';
+
+/** A process that stood still for so long, in milliseconds, distrusts its connections. */
+const SHORTEST_PAUSE_MS = 1_000;
+/** Time for the balancer to send new connections elsewhere, in milliseconds: two questions, and some. */
+const BALANCER_MOVES_MS = 2_700;
+/** Time kept of the grace for breaking off what is left and ending, in milliseconds. */
+const END_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+
+/** Options of a relay host. @public */
+export interface RelayHostOptions {
+  readonly place: HostPlace;
+  readonly protocol: WireProtocol;
+  /** Where metrics are served. */
+  readonly metricsAddress: string;
+  /** Starts reading configuration and list of backend servers. */
+  readonly startSource: (options: SourceOptions) => void;
+}
+
+/** A running relay host. @public */
+export interface RelayHost {
+  /** Stops gracefully: no request in progress is cut off before the grace is over. */
+  stop(): Promise<void>;
+  /** Notes in the log that settings were read again. */
+  noteReload(detail: string): void;
+  /** Notes a fault of the program that no task answers for. */
+  noteFault(detail: string): void;
+}
+
+/**
+ * Starts a host that passes callers' requests on to backend servers.
+ *
+ * @param options - see {@link RelayHostOptions}
+ * @returns the host, listening
+ * @throws Error when an address cannot be used
+ * @public
+ */
+export async function createRelayHost(options: RelayHostOptions): Promise<RelayHost> {
+  const { place, protocol } = options;
+  const clock = createSystemClock();
+  const trustClock = createTrustClock(clock);
+  const random = createRandom(randomBytes(4).readInt32BE(0));
+  const processId = processIdSchema.parse(randomBytes(6).toString('hex'));
+  const logger = createLogger(hostIdSchema.parse(place.hostName), 'info');
+  const metrics = createMetrics();
+  const supervisor = createSupervisor(place.hostName, {
+    clock,
+    onCrash: (path, error) =>
+      logger.error('a task failed and is started again', { path, error: describeError(error) }),
+  });
+  let isStopping = false;
+
+  const countHosts = () => fleet.countHosts();
+  const backends = createBackends({ clock, random, logger, countHosts });
+  const beliefs = createBeliefs({
+    trustClock,
+    logger,
+    findRevocationMs: () => place.revocationMs,
+    onChange({ configuration }) {
+      listener.applyLimits(configuration.limits);
+      applyServers();
+      fleet.announce();
+    },
+  });
+  const servers = createServerList(clock, logger, applyServers);
+  const onGone = (serverId: BackendServerId) =>
+    servers.remove(serverId, 'another server answered at its address');
+  const dispatchers = createDispatchers({
+    clock,
+    logger,
+    protocol,
+    backends,
+    onGone,
+    mayRepeat: (poolId) => service.mayRepeat(poolId),
+  });
+  const findFleet = () => fleet;
+  const stages = createStageClient({ clock, logger, findFleet, findDispatcher: dispatchers.find });
+  const service: RelayService = createRelayService({
+    place,
+    clock,
+    random,
+    logger,
+    metrics,
+    protocol,
+    beliefs,
+    backends,
+    stages,
+    countHosts,
+    estimateWaitMs,
+    onMisdirected: onGone,
+  });
+  const listener = createRelayListener({
+    service,
+    protocol,
+    logger,
+    findLimits: () => beliefs.current()?.configuration.limits,
+    isStopping: () => isStopping,
+  });
+  const isReady = () => !isStopping && beliefs.current() !== undefined && servers.revision() > 0;
+  const readiness = createReadinessListener(isReady);
+  const metricsListener = createMetricsListener(metrics);
+
+  function applyServers(): void {
+    const pools = beliefs.current()?.configuration.pools;
+    if (pools === undefined) return;
+    backends.update(servers.list(), pools);
+    dispatchers.update(pools, servers.list());
+  }
+
+  /** The waiting time that the pool's dispatcher, here or elsewhere, told last. */
+  function estimateWaitMs(poolId: PoolId): number {
+    if (computeRendezvousOrder(poolId, fleet.listLive())[0] === fleet.hostId) {
+      return dispatchers.find(poolId)?.estimateWaitMs() ?? 0;
+    }
+    const waits = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.waits);
+    return Math.max(
+      0,
+      ...waits.filter((wait) => wait.poolId === poolId).map((wait) => wait.waitMs),
+    );
+  }
+
+  const storeListener: StoreListener = {
+    onConfiguration: (document, askedAt) => beliefs.adopt(document, askedAt, 'the store'),
+    onServerList: (list, revision) => servers.replace(list, revision, 'the store'),
+    onServerChanges: (changes, revision) => servers.apply(changes, revision),
+    onReach(what, isReached, detail) {
+      if (what === 'servers' && isReached) servers.noteRegained();
+      logger.warn(isReached ? 'the store is reached again' : 'the store is lost', {
+        what,
+        detail,
+        version: beliefs.version(),
+        serversRevision: servers.revision(),
+      });
+    },
+  };
+
+  /** What another side may have forgotten while this process stood still is opened anew. */
+  function distrustConnections(pausedMs: number): void {
+    logger.warn('this process stood still; its connections are replaced', { pausedMs });
+    backends.renewConnections();
+    fleet.renew();
+  }
+
+  const fleet: Fleet = await createFleet({
+    place,
+    processId,
+    clock,
+    trustClock,
+    random,
+    logger,
+    supervisor: supervisor.createChild('peers'),
+    protocol,
+    beliefs,
+    servers,
+    isStopping: () => isStopping,
+    listWaits: dispatchers.listWaits,
+    handleRequest: stages.handleRequest,
+  });
+  await listener.listen(place.callersAddress);
+  options.startSource({
+    clock,
+    trustClock,
+    random,
+    logger,
+    supervisor: supervisor.createChild('store'),
+    listener: storeListener,
+  });
+  await readiness.listen(place.readinessAddress);
+  await metricsListener.listen(options.metricsAddress);
+  supervisor.spawn('pauses', createPauseWatch(clock, SHORTEST_PAUSE_MS, distrustConnections));
+  logger.info('started', {
+    process: processId,
+    callers: place.callersAddress,
+    peers: place.peersAddress,
+    seeds: [...place.seeds],
+  });
+
+  async function waitForEnd(since: number): Promise<void> {
+    const endAt = since + place.graceMs - END_MARGIN_MS;
+    for (;;) {
+      await waitFor(clock, STOP_POLL_MS);
+      const hasMoved = clock.now() - since >= BALANCER_MOVES_MS;
+      const isIdle = service.countActive() === 0 && dispatchers.countWaiting() === 0;
+      if ((hasMoved && isIdle) || clock.now() >= endAt) return;
+    }
+  }
+
+  return {
+    async stop() {
+      if (isStopping) return;
+      isStopping = true;
+      const since = clock.now();
+      logger.info('stopping', { activeRequests: service.countActive(), graceMs: place.graceMs });
+      fleet.announce();
+      await waitForEnd(since);
+      logger.info('stopped', {
+        cutOff: service.countActive(),
+        durationMs: Math.round(clock.now() - since),
+      });
+    },
+    noteReload: (detail) => logger.info('settings were read again', { detail }),
+    noteFault: (detail) => logger.error('a fault of the program', { detail }),
+  };
+}
--- a/apps/daemon/src/lib/startConfigurationSource.ts
+++ b/apps/daemon/src/lib/startConfigurationSource.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Random, Supervisor } from '@endiveferry/base';
-import { startPlatformClient } from '@endiveferry/platform';
+import { startDirectoryClient } from '@endiveferry/directory';
 import {
   checkConfiguration,
   formatFault,
@@ -73,7 +73,7 @@
     await reload();
     return { reload };
   }
-  startPlatformClient({
+  startDirectoryClient({
     ...options,
     url: platform.url,
     listener: {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,13 +6,14 @@
   'base',
   'telemetry',
   'settings',
-  'platform',
+  'directory',
   'peers',
   'claims',
   'admission',
   'routing',
   'pipeline',
   'orders',
+  'relay',
 ];
 
 const layerRules = packageOrder.map((name, index) => ({
@@ -31,7 +32,16 @@
 }));
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'tools/**', '**/bin/**', 'eslint.config.js'] },
+  {
+    ignores: [
+      'target/**',
+      '**/dist/**',
+      '**/node_modules/**',
+      'tools/**',
+      '**/bin/**',
+      'eslint.config.js',
+    ],
+  },
   {
     files: ['**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
--- a/packages/admission/src/lib/createRetryBudget.ts
+++ b/packages/admission/src/lib/createRetryBudget.ts
@@ -1,4 +1,4 @@
-/** Retries that may be saved up, and that a fresh budget starts with. */
+/** Retries that may be saved up, and that a fresh budget starts with, unless told otherwise. */
 const MAX_SAVED_RETRIES = 20;
 
 /**
@@ -20,17 +20,21 @@
  * Creates a budget.
  *
  * @param findShare - retries earned by one first try, from 0 to 1
+ * @param findMaxSaved - the most retries saved up
  * @returns a full budget
  * @public
  */
-export function createRetryBudget(findShare: () => number): RetryBudget {
-  let balance = MAX_SAVED_RETRIES;
+export function createRetryBudget(
+  findShare: () => number,
+  findMaxSaved: () => number = () => MAX_SAVED_RETRIES,
+): RetryBudget {
+  let balance = findMaxSaved();
   let firstTries = 0;
   let retries = 0;
   return {
     recordFirstTry() {
       firstTries += 1;
-      balance = Math.min(MAX_SAVED_RETRIES, balance + findShare());
+      balance = Math.min(findMaxSaved(), balance + findShare());
     },
     tryWithdraw() {
       if (balance < 1) return false;
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -21,6 +21,7 @@
   'forbidden',
   'not-found',
   'body-too-large',
+  'headers-too-large',
   'key-conflict',
   'key-unproven',
   'limit-reached',
--- a/packages/platform/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -1,7 +1,7 @@
 /** Reading and watching what the platform publishes. */
 export {
-  startPlatformClient,
-  type PlatformClientOptions,
-  type PlatformListener,
-} from './lib/startPlatformClient.js';
+  startDirectoryClient,
+  type DirectoryClientOptions,
+  type DirectoryListener,
+} from './lib/startDirectoryClient.js';
 export { hostListSchema, type HostList, type PublishedConfiguration } from './lib/messages.js';
--- a/packages/platform/src/lib/startPlatformClient.ts
+++ b/packages/directory/src/lib/startDirectoryClient.ts
@@ -33,7 +33,7 @@
  *
  * @public
  */
-export interface PlatformListener {
+export interface DirectoryListener {
   onConfiguration(published: PublishedConfiguration): void;
   /** Called with each answer, also when only `asOf` is newer. */
   onHostList(list: HostList): void;
@@ -44,7 +44,7 @@
  *
  * @public
  */
-export interface PlatformClientOptions {
+export interface DirectoryClientOptions {
   readonly url: string;
   /** Named to the platform with each read. */
   readonly hostId: HostId;
@@ -52,7 +52,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly supervisor: Supervisor;
-  readonly listener: PlatformListener;
+  readonly listener: DirectoryListener;
   /** Newest revisions known, also from other hosts, so that the platform sends only newer ones. */
   readonly findConfigurationRevision: () => number;
   readonly findHostListRevision: () => number;
@@ -64,10 +64,10 @@
  * Starts watching the platform: one long poll for the configuration, one for the list of hosts.
  * After a failure each waits a random part of a doubling time, so that a fleet comes back spread out.
  *
- * @param options - see {@link PlatformClientOptions}
+ * @param options - see {@link DirectoryClientOptions}
  * @public
  */
-export function startPlatformClient(options: PlatformClientOptions): void {
+export function startDirectoryClient(options: DirectoryClientOptions): void {
   const { url, clock, random, logger, listener } = options;
 
   async function readText(dispatcher: Dispatcher, path: string, timeoutMs: number) {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -15,8 +15,10 @@
   type PeerNetworkOptions,
 } from './lib/createPeerNetwork.js';
 export {
+  heartbeatCodec,
   heartbeatSchema,
   type Heartbeat,
+  type HeartbeatCodec,
   type PeerRequestKind,
   type Successor,
 } from './lib/messages.js';
--- a/packages/peers/src/lib/createPeerNetwork.test.ts
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -13,7 +13,7 @@
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 
 import { createPeerNetwork, type PeerNetwork } from './createPeerNetwork.js';
-import type { Heartbeat } from './messages.js';
+import { heartbeatCodec, type Heartbeat } from './messages.js';
 
 setLogWriter(() => undefined);
 
@@ -36,16 +36,16 @@
   readonly addresses: Map<HostId, string>;
   readonly listed: Set<HostId>;
   readonly heard: Map<HostId, number>;
-  readonly start: (hostId: HostId) => Promise<PeerNetwork>;
+  readonly start: (hostId: HostId) => Promise<PeerNetwork<Heartbeat>>;
 }
 
 async function withWorld(run: (world: World) => Promise<void>): Promise<void> {
   const addresses = new Map<HostId, string>();
   const listed = new Set([hostA, hostB]);
   const heard = new Map<HostId, number>();
-  const networks: PeerNetwork[] = [];
+  const networks: PeerNetwork<Heartbeat>[] = [];
   const supervisor = createSupervisor('test', { clock, onCrash: () => undefined });
-  async function start(hostId: HostId): Promise<PeerNetwork> {
+  async function start(hostId: HostId): Promise<PeerNetwork<Heartbeat>> {
     const network = await createPeerNetwork({
       hostId,
       processId: processIdSchema.parse(`process-${hostId}`),
@@ -57,6 +57,7 @@
       supervisor: supervisor.createChild(hostId),
       findAddress: (id) => addresses.get(id),
       isListed: (id) => listed.has(id),
+      codec: heartbeatCodec,
       buildHeartbeat: () => createHeartbeat(hostId),
       onHeartbeat: (id) => heard.set(id, (heard.get(id) ?? 0) + 1),
       handleRequest: (from, kind, body) => Promise.resolve({ from, kind, body }),
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -23,13 +23,7 @@
   type HandleHostRequest,
   type PeerListener,
 } from './createPeerListener.js';
-import {
-  compactHeartbeat,
-  heartbeatSchema,
-  PROTOCOL_VERSION,
-  type Heartbeat,
-  type PeerRequestKind,
-} from './messages.js';
+import { PROTOCOL_VERSION, type HeartbeatCodec, type PeerRequestKind } from './messages.js';
 import { openPeerSocket, type TlsKeys } from './openPeerSocket.js';
 
 /** Each of two linked hosts asks the other at this interval, so they exchange twice in it. */
@@ -51,10 +45,10 @@
  *
  * @public
  */
-export interface LinkStatus {
+export interface LinkStatus<Beat> {
   readonly hostId: HostId;
   readonly state: LinkState;
-  readonly lastHeartbeat: Heartbeat | undefined;
+  readonly lastHeartbeat: Beat | undefined;
   /** Monotonic time of the last heartbeat that was answered, in milliseconds. */
   readonly lastHeardAt: number | undefined;
 }
@@ -64,7 +58,7 @@
  *
  * @public
  */
-export interface PeerNetworkOptions {
+export interface PeerNetworkOptions<Beat> {
   readonly hostId: HostId;
   readonly processId: ProcessId;
   readonly address: string;
@@ -75,8 +69,15 @@
   readonly supervisor: Supervisor;
   readonly findAddress: (hostId: HostId) => string | undefined;
   readonly isListed: (hostId: HostId) => boolean;
-  readonly buildHeartbeat: () => Heartbeat;
-  readonly onHeartbeat: (hostId: HostId, heartbeat: Heartbeat) => void;
+  readonly codec: HeartbeatCodec<Beat>;
+  /** Time between two heartbeats of this host over one link, in milliseconds. */
+  readonly heartbeatIntervalMs?: number;
+  readonly buildHeartbeat: () => Beat;
+  /**
+   * Takes a heartbeat of another host. `askedAt` is the monotonic time at which this host asked for
+   * it, so that what it says of ages holds from then on; undefined when the other host sent it unasked.
+   */
+  readonly onHeartbeat: (hostId: HostId, heartbeat: Beat, askedAt: number | undefined) => void;
   /** Does what other hosts ask, heartbeats and greetings excepted. */
   readonly handleRequest: HandleHostRequest;
 }
@@ -86,7 +87,7 @@
  *
  * @public
  */
-export interface PeerNetwork {
+export interface PeerNetwork<Beat> {
   readonly address: string;
   /** Keeps links to these hosts, and to no others. */
   setPeers(hostIds: readonly HostId[]): void;
@@ -101,18 +102,18 @@
   renewLinks(): void;
   /** Sends heartbeats at once, because there is news. */
   sendHeartbeats(): void;
-  readonly listLinks: () => readonly LinkStatus[];
+  readonly listLinks: () => readonly LinkStatus<Beat>[];
   /** Bytes sent and received on connections that this host opened. */
   readonly countBytes: () => number;
   reloadKeys(): void;
   close(): Promise<void>;
 }
 
-interface Link {
+interface Link<Beat> {
   readonly hostId: HostId;
   readonly machine: ReturnType<typeof createLinkMachine>;
   connection: PeerConnection | undefined;
-  lastHeartbeat: Heartbeat | undefined;
+  lastHeartbeat: Beat | undefined;
   lastHeardAt: number | undefined;
   /** Ends the wait before the next heartbeat. */
   wake: () => void;
@@ -140,20 +141,23 @@
  * @throws Error when the address cannot be used
  * @public
  */
-export async function createPeerNetwork(options: PeerNetworkOptions): Promise<PeerNetwork> {
-  const { clock, random, logger, supervisor } = options;
-  const links = new Map<HostId, Link>();
+export async function createPeerNetwork<Beat>(
+  options: PeerNetworkOptions<Beat>,
+): Promise<PeerNetwork<Beat>> {
+  const { clock, random, logger, supervisor, codec } = options;
+  const heartbeatIntervalMs = options.heartbeatIntervalMs ?? HEARTBEAT_INTERVAL_MS;
+  const links = new Map<HostId, Link<Beat>>();
   const spares = new Map<HostId, Promise<PeerConnection>>();
   let closedBytes = 0;
 
   function receiveHeartbeat(hostId: HostId, body: unknown): void {
-    options.onHeartbeat(hostId, heartbeatSchema.parse(body));
+    options.onHeartbeat(hostId, codec.parse(body), undefined);
   }
 
   const handleRequest: HandleHostRequest = (hostId, kind, body) => {
     if (kind !== 'heartbeat') return options.handleRequest(hostId, kind, body);
     receiveHeartbeat(hostId, body);
-    return Promise.resolve(compactHeartbeat(options.buildHeartbeat()));
+    return Promise.resolve(codec.compact(options.buildHeartbeat()));
   };
 
   /** Opens a connection and greets the other side. */
@@ -182,30 +186,31 @@
     throw new Error(`${hostId} did not greet back: ${greeting.error.detail}`);
   }
 
-  async function exchangeHeartbeat(link: Link, connection: PeerConnection): Promise<boolean> {
+  async function exchangeHeartbeat(link: Link<Beat>, connection: PeerConnection): Promise<boolean> {
+    const askedAt = clock.now();
     const reply = await connection.request(
       'heartbeat',
-      compactHeartbeat(options.buildHeartbeat()),
+      codec.compact(options.buildHeartbeat()),
       HEARTBEAT_TIMEOUT_MS,
     );
-    const heartbeat = reply.map((body) => heartbeatSchema.safeParse(body).data);
-    if (heartbeat.isErr() || heartbeat.value === undefined) return false;
-    link.lastHeartbeat = heartbeat.value;
+    if (reply.isErr()) return false;
+    const heartbeat = codec.parse(reply.value);
+    link.lastHeartbeat = heartbeat;
     link.lastHeardAt = clock.now();
-    options.onHeartbeat(link.hostId, heartbeat.value);
+    options.onHeartbeat(link.hostId, heartbeat, askedAt);
     return true;
   }
 
   /** Waits for the next heartbeat's time, or until there is news. */
-  function waitForHeartbeat(link: Link, signal: AbortSignal): Promise<void> {
+  function waitForHeartbeat(link: Link<Beat>, signal: AbortSignal): Promise<void> {
     const wake = new AbortController();
     link.wake = () => wake.abort(NO_LONGER_NEEDED);
-    const intervalMs = HEARTBEAT_INTERVAL_MS * (0.9 + random.nextFraction() * 0.2);
+    const intervalMs = heartbeatIntervalMs * (0.9 + random.nextFraction() * 0.2);
     return waitFor(clock, intervalMs, AbortSignal.any([signal, wake.signal]));
   }
 
   async function runHeartbeats(
-    link: Link,
+    link: Link<Beat>,
     connection: PeerConnection,
     signal: AbortSignal,
   ): Promise<void> {
@@ -218,7 +223,7 @@
     }
   }
 
-  async function runLink(link: Link, signal: AbortSignal): Promise<void> {
+  async function runLink(link: Link<Beat>, signal: AbortSignal): Promise<void> {
     for (let retryMs = FIRST_RETRY_MS; !signal.aborted;) {
       try {
         const connection = await openConnection(link.hostId);
@@ -239,7 +244,7 @@
   }
 
   function addLink(hostId: HostId): void {
-    const link: Link = {
+    const link: Link<Beat> = {
       hostId,
       machine: createLinkMachine((state, previous) => {
         const isNews = state === 'up' || previous === 'up' || previous === 'suspect';
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -15,7 +15,11 @@
   | 'read-configuration'
   | 'read-host-list'
   | 'forward-request'
-  | 'take-over-keys';
+  | 'take-over-keys'
+  | 'read-servers'
+  | 'run-pieces'
+  | 'cancel-pieces'
+  | 'free-results';
 
 const requestKindSchema = z.enum([
   'hello',
@@ -24,6 +28,10 @@
   'read-host-list',
   'forward-request',
   'take-over-keys',
+  'read-servers',
+  'run-pieces',
+  'cancel-pieces',
+  'free-results',
 ]) satisfies z.ZodType<PeerRequestKind>;
 
 /** Validator of one message on a connection between hosts. @internal */
@@ -99,6 +107,24 @@
 /** What hosts tell each other all the time. @public */
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
+/**
+ * Reads and writes what hosts tell each other all the time.
+ *
+ * @public
+ */
+export interface HeartbeatCodec<Beat> {
+  /** Reads a heartbeat off the wire; throws when it is malformed. */
+  parse(body: unknown): Beat;
+  /** Makes what goes on the wire. */
+  compact(heartbeat: Beat): unknown;
+}
+
+/** The heartbeats of hosts that serve the product's own interface. @public */
+export const heartbeatCodec: HeartbeatCodec<Heartbeat> = {
+  parse: (body) => heartbeatSchema.parse(body),
+  compact: compactHeartbeat,
+};
+
 /**
  * Leaves out what the reader fills in by itself.
  *
--- a/packages/peers/src/lib/peerTls.test.ts
+++ b/packages/peers/src/lib/peerTls.test.ts
@@ -13,6 +13,7 @@
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 
 import { createPeerNetwork, type PeerNetwork } from './createPeerNetwork.js';
+import { heartbeatCodec, type Heartbeat } from './messages.js';
 import type { TlsKeys } from './openPeerSocket.js';
 
 setLogWriter(() => undefined);
@@ -31,8 +32,8 @@
 async function withHosts(
   callerKeys: TlsKeys | undefined,
   run: (
-    caller: PeerNetwork,
-    listener: PeerNetwork,
+    caller: PeerNetwork<Heartbeat>,
+    listener: PeerNetwork<Heartbeat>,
     setKeys: (keys: TlsKeys) => void,
   ) => Promise<void>,
 ): Promise<void> {
@@ -51,6 +52,7 @@
       supervisor: supervisor.createChild(hostId),
       findAddress: (id) => addresses.get(id),
       isListed: () => true,
+      codec: heartbeatCodec,
       buildHeartbeat: () => assert.fail('no heartbeat is sent here'),
       onHeartbeat: () => undefined,
       handleRequest: () => Promise.resolve('done'),
@@ -67,7 +69,8 @@
   }
 }
 
-const ask = (caller: PeerNetwork) => caller.request(hostB, 'read-configuration', {}, 2_000);
+const ask = (caller: PeerNetwork<Heartbeat>) =>
+  caller.request(hostB, 'read-configuration', {}, 2_000);
 
 test('hosts with certificates of the same authority talk', () =>
   withHosts(readKeys('host-a'), async (caller) => {
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,50 @@
+/** Serves requests that are routed by host and path to backend servers, and passed on unchanged. */
+export { createBackends, type Backend, type Backends } from './lib/createBackends.js';
+export { createBeliefs, type Beliefs, type ConfigurationInForce } from './lib/createBeliefs.js';
+export { createFleet, type Fleet, type FleetOptions } from './lib/createFleet.js';
+export {
+  createRelayService,
+  type RelayService,
+  type RelayServiceOptions,
+} from './lib/createRelayService.js';
+export { createServerList, type ServerList } from './lib/createServerList.js';
+export { createStageClient, type StageClient } from './lib/createStageClient.js';
+export { createTrustClock, type Moment, type TrustClock } from './lib/createTrustClock.js';
+export {
+  createPieceDispatcher,
+  type PieceDispatcher,
+  type PiecesAnswer,
+} from './lib/pieces/createPieceDispatcher.js';
+export type {
+  AnswerFacts,
+  BackendRequest,
+  CallFacts,
+  ForwardFacts,
+  HostPlace,
+  OwnAnswer,
+  PieceCall,
+  PieceFailure,
+  PieceOutcome,
+  PromptPart,
+  RawCall,
+  ReportedLoad,
+  ServerChange,
+  SourceOptions,
+  StoreListener,
+  WireProtocol,
+} from './lib/ports.js';
+export type {
+  CallerLimits,
+  EngineCapacity,
+  ListedServer,
+  PublishedDocument,
+  RelayConfiguration,
+  RelayPool,
+  RelayWorkspace,
+  Route,
+  RouteKind,
+  RouteStage,
+  StageCapacity,
+  WeightedPool,
+} from './lib/RelayConfiguration.js';
+export type { Responder } from './lib/Responder.js';
--- /dev/null
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -0,0 +1,124 @@
+import { computeHash, type AvailabilityZoneId, type BackendServerId } from '@endiveferry/base';
+
+import type { Backend } from './createBackends.js';
+import type { PromptCache } from './createPromptCache.js';
+import type { PromptPart } from './ports.js';
+
+/** Cost of a fully used server against an empty one, in milliseconds of expected delay. */
+const FULL_LOAD_MS = 120;
+/** Cost of each request that waits at a server, in milliseconds. */
+const WAITING_MS = 40;
+/** Cost of a server whose every call fails, in milliseconds. */
+const FAILING_MS = 2_000;
+/** Cost of a call to another availability zone, in milliseconds: two ways of a millisecond or two. */
+const OTHER_ZONE_MS = 4;
+/** Time to read one prompt token, in milliseconds; engines read 50 to 120 tokens in one. */
+const READ_TOKEN_MS = 0.015;
+/** What the home of a prompt's shared part is preferred by, in milliseconds. */
+const HOME_MS = 25;
+/** Cost of fetching results from another availability zone, in milliseconds. */
+const REMOTE_INPUTS_MS = 20;
+/** Random part of a cost, in milliseconds, so that hosts with equal views don't choose alike. */
+const JITTER_MS = 2;
+
+/** What a backend server is chosen by. @public */
+export interface BackendChoice {
+  readonly candidates: readonly Backend[];
+  /** Servers that had the request already. */
+  readonly tried: ReadonlySet<BackendServerId>;
+  readonly availabilityZone: AvailabilityZoneId;
+  /** From 0 to 1. */
+  readonly jitter: () => number;
+}
+
+/** What an engine is chosen by. @public */
+export interface EngineChoice extends BackendChoice {
+  readonly promptParts: readonly PromptPart[];
+  readonly cache: PromptCache;
+  /** Where the results that it reads lie. */
+  readonly inputZones: readonly AvailabilityZoneId[];
+}
+
+function computeLoadMs(backend: Backend): number {
+  const slots = Math.max(1, backend.server.slots);
+  const report = backend.reportedLoad();
+  const running = Math.max(backend.running(), report?.running ?? 0);
+  return (running / slots) * FULL_LOAD_MS + (report?.waiting ?? 0) * WAITING_MS;
+}
+
+function computeBaseCost(backend: Backend, choice: BackendChoice): number {
+  const isRemote = backend.server.availabilityZone !== choice.availabilityZone;
+  return (
+    computeLoadMs(backend) +
+    backend.failureShare() * FAILING_MS +
+    (isRemote ? OTHER_ZONE_MS : 0) +
+    choice.jitter() * JITTER_MS
+  );
+}
+
+function chooseCheapest(
+  choice: BackendChoice,
+  computeCost: (backend: Backend) => number,
+): Backend | undefined {
+  let best: { readonly backend: Backend; readonly cost: number } | undefined;
+  for (const backend of choice.candidates) {
+    const isUsable =
+      !backend.server.isLeaving &&
+      !choice.tried.has(backend.server.serverId) &&
+      backend.running() < backend.maxRunning();
+    if (!isUsable) continue;
+    const cost = computeCost(backend);
+    if (best === undefined || cost < best.cost) best = { backend, cost };
+  }
+  return best?.backend;
+}
+
+/**
+ * Chooses a server of a plain service: the least loaded one that answers well. The load that it
+ * answers: short calls with a target of a few service times, and servers that fail a part of them
+ * while they look alive.
+ *
+ * @param choice - see {@link BackendChoice}
+ * @returns the server; undefined when none may be used
+ * @public
+ */
+export function choosePlainServer(choice: BackendChoice): Backend | undefined {
+  return chooseCheapest(choice, (backend) => computeBaseCost(backend, choice));
+}
+
+/**
+ * Chooses an engine: the one expected to start first, given what it has of the prompt. The load that
+ * it answers: prompts that share long parts, where reading a part again costs as much as a wait.
+ *
+ * @param choice - see {@link EngineChoice}
+ * @returns the engine; undefined when none may be used
+ * @public
+ */
+export function chooseEngine(choice: EngineChoice): Backend | undefined {
+  const { promptParts, cache, inputZones } = choice;
+  const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const shared = promptParts.at(-2);
+  const homeId = shared === undefined ? undefined : findHome(shared.partId, choice.candidates);
+  return chooseCheapest(choice, (backend) => {
+    const { serverId, availabilityZone } = backend.server;
+    const missing = promptTokens - cache.countCached(serverId, promptParts);
+    const remoteInputs = inputZones.filter((zone) => zone !== availabilityZone).length;
+    return (
+      computeBaseCost(backend, choice) +
+      missing * READ_TOKEN_MS +
+      (serverId === homeId ? 0 : HOME_MS) +
+      (inputZones.length === 0 ? 0 : (remoteInputs / inputZones.length) * REMOTE_INPUTS_MS)
+    );
+  });
+}
+
+/** All hosts find the same home, so that requests with a common part meet there. */
+function findHome(partId: string, candidates: readonly Backend[]): BackendServerId | undefined {
+  let best: { readonly serverId: BackendServerId; readonly score: number } | undefined;
+  for (const { server } of candidates) {
+    if (server.isLeaving) continue;
+    const score = computeHash(`${partId}\u0000${server.serverId}`);
+    if (best === undefined || score > best.score) best = { serverId: server.serverId, score };
+  }
+  return best?.serverId;
+}
--- /dev/null
+++ b/packages/relay/src/lib/createBeliefs.ts
@@ -0,0 +1,118 @@
+import type { Logger } from '@endiveferry/telemetry';
+
+import { createRouteTable, type RouteTable } from './createRouteTable.js';
+import type { Moment, TrustClock } from './createTrustClock.js';
+import type {
+  PublishedDocument,
+  RelayConfiguration,
+  RelayWorkspace,
+} from './RelayConfiguration.js';
+
+/**
+ * Time, in milliseconds, kept between the moment up to which keys are honoured and the bound: a
+ * request that was admitted needs some of it to reach its backend server.
+ */
+const REVOCATION_MARGIN_MS = 700;
+
+/** The configuration in force, ready to use. @public */
+export interface ConfigurationInForce {
+  readonly configuration: RelayConfiguration;
+  /** As it was published. */
+  readonly text: string;
+  readonly routes: RouteTable;
+  readonly findWorkspace: (key: string) => RelayWorkspace | undefined;
+}
+
+/**
+ * What this host holds to be in force, and for how long it may.
+ *
+ * @public
+ */
+export interface Beliefs {
+  readonly current: () => ConfigurationInForce | undefined;
+  /** The version in force; 0 before the first. */
+  readonly version: () => number;
+  /**
+   * Takes over a version that was in force at a moment; an older version than the one in force
+   * changes nothing.
+   */
+  adopt(document: PublishedDocument, confirmedAt: Moment, source: string): void;
+  /** Notes that a version was still in force at a moment. */
+  confirm(version: number, confirmedAt: Moment): void;
+  /** Time since the version in force was last confirmed, in milliseconds; Infinity when never. */
+  readonly confirmedAgeMs: () => number;
+  /** Whether a key that this host knows may still be honoured. */
+  readonly mayHonourKeys: () => boolean;
+}
+
+/**
+ * Options of the beliefs.
+ *
+ * @public
+ */
+export interface BeliefsOptions {
+  readonly trustClock: TrustClock;
+  readonly logger: Logger;
+  /** Longest time for which a key may be honoured after it was taken away, in milliseconds. */
+  readonly findRevocationMs: () => number;
+  readonly onChange: (inForce: ConfigurationInForce) => void;
+}
+
+function buildInForce({ configuration, text }: PublishedDocument): ConfigurationInForce {
+  const workspaces = new Map<string, RelayWorkspace>();
+  for (const workspace of configuration.workspaces ?? []) {
+    for (const key of workspace.keys) workspaces.set(key, workspace);
+  }
+  return {
+    configuration,
+    text,
+    routes: createRouteTable(configuration.routes),
+    findWorkspace: (key) => workspaces.get(key),
+  };
+}
+
+/**
+ * Creates the beliefs of a host that knows nothing yet.
+ *
+ * @param options - see {@link BeliefsOptions}
+ * @returns the beliefs
+ * @public
+ */
+export function createBeliefs(options: BeliefsOptions): Beliefs {
+  const { trustClock, logger, findRevocationMs, onChange } = options;
+  let inForce: ConfigurationInForce | undefined;
+  let confirmedAt: Moment | undefined;
+
+  const version = () => inForce?.configuration.version ?? 0;
+  const computeAge = () =>
+    confirmedAt === undefined ? Infinity : trustClock.computeAge(confirmedAt);
+
+  function confirm(confirmedVersion: number, moment: Moment): void {
+    if (confirmedVersion !== version() || inForce === undefined) return;
+    if (trustClock.computeAge(moment) < computeAge()) confirmedAt = moment;
+  }
+
+  return {
+    current: () => inForce,
+    version,
+    adopt(document, moment, source) {
+      const next = document.configuration.version;
+      if (next > version()) {
+        const previous = version();
+        inForce = buildInForce(document);
+        confirmedAt = undefined;
+        logger.info('a configuration is in force', {
+          version: next,
+          previous,
+          source,
+          ageMs: Math.round(trustClock.computeAge(moment)),
+        });
+        onChange(inForce);
+      }
+      confirm(next, moment);
+    },
+    confirm,
+    confirmedAgeMs: computeAge,
+    mayHonourKeys: () => computeAge() <= findRevocationMs() - REVOCATION_MARGIN_MS,
+  };
+}
--- /dev/null
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -0,0 +1,346 @@
+import {
+  createRefusal,
+  rankIdSchema,
+  workspaceIdSchema,
+  type AvailabilityZoneId,
+  type BackendServerId,
+  type Clock,
+  type Failure,
+  type PoolId,
+  type Random,
+} from '@endiveferry/base';
+import { createRetryBudget, type RetryBudget } from '@endiveferry/admission';
+import type { Logger, Metrics } from '@endiveferry/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+
+import { chooseEngine, choosePlainServer } from './chooseBackend.js';
+import type { Backends } from './createBackends.js';
+import type { Beliefs, ConfigurationInForce } from './createBeliefs.js';
+import { createPromptCache } from './createPromptCache.js';
+import { choosePool } from './createRouteTable.js';
+import type { StageClient } from './createStageClient.js';
+import { forwardCall, type ForwardOutcome, type ForwardRequest } from './forwardCall.js';
+import type { CallFacts, HostPlace, RawCall, WireProtocol } from './ports.js';
+import type { RelayWorkspace, Route } from './RelayConfiguration.js';
+import type { Responder } from './Responder.js';
+import { runStages, type StagesOutput } from './runStages.js';
+import { spreadRetry } from './spreadRetry.js';
+
+/**
+ * A host whose configuration was not confirmed for so long, in milliseconds, doesn't say that a
+ * route or a key is unknown: a newer version may hold it.
+ */
+const DENIAL_VALID_MS = 2_500;
+/** Time to the first event that is assumed before any was measured, in milliseconds. */
+const FIRST_EVENT_MS = 200;
+/** Weight of the newest stream in the expected time to the first event. */
+const FIRST_EVENT_WEIGHT = 0.1;
+/** Part of the fleet-wide repeats that is planned with; the fleet is never seen exactly. */
+const BUDGET_SHARE = 0.7;
+/** What requests without a key are accounted to. */
+const PUBLIC_WORKSPACE = workspaceIdSchema.parse('public');
+
+/** Serves requests from their arrival to their answer. @public */
+export interface RelayService {
+  /** Answers one request; `signal` aborts when the caller leaves. */
+  serve(call: RawCall, responder: Responder, signal: AbortSignal): Promise<void>;
+  /** Requests in progress. */
+  readonly countActive: () => number;
+  /** Asked by dispatchers before pieces of a pool are sent once more. */
+  mayRepeat(poolId: PoolId): boolean;
+}
+
+/** Options of the service. @public */
+export interface RelayServiceOptions {
+  readonly place: HostPlace;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly protocol: WireProtocol;
+  readonly beliefs: Beliefs;
+  readonly backends: Backends;
+  readonly stages: StageClient;
+  readonly countHosts: () => number;
+  /** Time until a stage of a pool would start, in milliseconds. */
+  readonly estimateWaitMs: (poolId: PoolId) => number;
+  /** Tells of a server that another one took the address of. */
+  readonly onMisdirected: (serverId: BackendServerId) => void;
+}
+
+/** A request that may be served. */
+interface Admitted {
+  readonly call: RawCall;
+  readonly facts: CallFacts;
+  readonly inForce: ConfigurationInForce;
+  readonly route: Route;
+  readonly workspace: RelayWorkspace | undefined;
+  readonly poolId: PoolId;
+  readonly rank: number;
+  readonly arrivedAt: number;
+  readonly endAt: number;
+  readonly streamEndAt: number;
+}
+
+/**
+ * Creates the service.
+ *
+ * @param options - see {@link RelayServiceOptions}
+ * @returns the service
+ * @public
+ */
+export function createRelayService(options: RelayServiceOptions): RelayService {
+  const { place, clock, random, logger, metrics, protocol, beliefs, backends } = options;
+  const promptCache = createPromptCache();
+  const budgets = new Map<PoolId, RetryBudget>();
+  let firstEventMs = FIRST_EVENT_MS;
+  let active = 0;
+
+  function findBudget(poolId: PoolId): RetryBudget {
+    const budget =
+      budgets.get(poolId) ??
+      createRetryBudget(
+        () => place.retryShare * BUDGET_SHARE,
+        () => (place.retrySlack * BUDGET_SHARE) / Math.max(1, options.countHosts()),
+      );
+    budgets.set(poolId, budget);
+    return budget;
+  }
+
+  const refuse = (reason: Failure['reason'], detail: string) => err(createRefusal(reason, detail));
+
+  /** A denial of what a newer configuration may allow is put off until this host is sure. */
+  function deny(reason: 'not-found' | 'unauthenticated', detail: string) {
+    return beliefs.confirmedAgeMs() <= DENIAL_VALID_MS
+      ? refuse(reason, detail)
+      : refuse(
+          'draining',
+          'this host is out of touch and cannot tell whether the request is allowed',
+        );
+  }
+
+  function authenticate({
+    route,
+    inForce,
+    facts,
+  }: Pick<Admitted, 'route' | 'inForce' | 'facts'>): Result<RelayWorkspace | undefined, Failure> {
+    const needsKey = !route.isPublic && inForce.configuration.workspaces !== undefined;
+    if (!needsKey) return ok(undefined);
+    if (facts.apiKey === undefined) return refuse('unauthenticated', 'the request has no key');
+    const workspace = inForce.findWorkspace(facts.apiKey);
+    if (workspace === undefined) return deny('unauthenticated', 'the key is unknown');
+    if (!beliefs.mayHonourKeys()) {
+      return refuse('draining', 'this host cannot tell whether the key is still valid');
+    }
+    return ok(workspace);
+  }
+
+  function admit(call: RawCall, facts: CallFacts): Result<Admitted, Failure> {
+    const arrivedAt = clock.now();
+    const inForce = beliefs.current();
+    if (inForce === undefined) return refuse('draining', 'this host knows no configuration yet');
+    if (call.body.length > inForce.configuration.limits.maxBodyBytes) {
+      return refuse('body-too-large', 'the body is longer than allowed');
+    }
+    const route = inForce.routes.findRoute(facts.host, call.target);
+    if (route === undefined) return deny('not-found', 'no route matches');
+    const workspace = authenticate({ route, inForce, facts });
+    if (workspace.isErr()) return err(workspace.error);
+    const poolId = choosePool(route, random);
+    if (poolId === undefined) return refuse('no-backend-server', 'the route has no pool');
+    const patienceMs = facts.remainingMs ?? route.timeoutMs;
+    return ok({
+      call,
+      facts,
+      inForce,
+      route,
+      workspace: workspace.value,
+      poolId,
+      rank: workspace.value?.rank ?? route.rank,
+      arrivedAt,
+      endAt: arrivedAt + Math.min(patienceMs, route.timeoutMs),
+      streamEndAt: arrivedAt + patienceMs,
+    });
+  }
+
+  /** Refuses at once what cannot get its first event in time. */
+  function checkDoor(admitted: Admitted): Failure | undefined {
+    const { route, facts, endAt } = admitted;
+    const pools = new Set(
+      route.stages.flatMap(({ poolId }, index) =>
+        (facts.pieceCounts[index] ?? 0) > 0 ? [poolId] : [],
+      ),
+    );
+    const waitMs = [...pools].reduce((sum, poolId) => sum + options.estimateWaitMs(poolId), 0);
+    if (clock.now() + waitMs + firstEventMs < endAt) return undefined;
+    return createRefusal('overloaded', 'the stages cannot be done in time', waitMs / 2);
+  }
+
+  async function prepareInputs(
+    admitted: Admitted,
+    signal: AbortSignal,
+  ): Promise<Result<StagesOutput | undefined, Failure>> {
+    const { route, facts, inForce } = admitted;
+    if (route.stages.length === 0) return ok(undefined);
+    const refusal = checkDoor(admitted);
+    if (refusal !== undefined) return err(refusal);
+    return runStages(
+      {
+        requestId: facts.requestId,
+        route,
+        rank: admitted.rank,
+        pieceCounts: facts.pieceCounts,
+        pieceKey: facts.pieceKey,
+        pools: inForce.configuration.pools,
+        endAt: admitted.endAt - firstEventMs,
+        targetAt: admitted.arrivedAt + route.targetLatencyMs,
+        firstEventMs,
+        signal,
+      },
+      options.stages,
+    );
+  }
+
+  function choose(request: ForwardRequest, tried: ReadonlySet<BackendServerId>) {
+    const choice = {
+      candidates: backends.listPool(request.poolId),
+      tried,
+      availabilityZone: place.availabilityZone,
+      jitter: () => random.nextFraction(),
+    };
+    if (request.route.kind !== 'streaming') return choosePlainServer(choice);
+    const { promptParts } = request.facts;
+    const { inputZones } = request;
+    const engine = chooseEngine({ ...choice, promptParts, inputZones, cache: promptCache });
+    if (engine !== undefined) promptCache.recordSent(engine.server.serverId, promptParts);
+    return engine;
+  }
+
+  function findZones(output: StagesOutput | undefined): readonly AvailabilityZoneId[] {
+    return (output?.results ?? []).flatMap(({ serverId }) => {
+      const zone = backends.find(serverId)?.server.availabilityZone;
+      return zone === undefined ? [] : [zone];
+    });
+  }
+
+  async function serveAdmitted(
+    admitted: Admitted,
+    responder: Responder,
+    signal: AbortSignal,
+  ): Promise<ForwardOutcome> {
+    const output = await prepareInputs(admitted, signal);
+    if (output.isErr()) return sendFailure(output.error, admitted.facts, responder);
+    const preparedAt = clock.now();
+    const { call, facts, route, poolId, workspace, rank, endAt, streamEndAt } = admitted;
+    const outcome = await forwardCall(
+      {
+        call,
+        facts,
+        route,
+        poolId,
+        workspaceId: workspace?.workspaceId,
+        rank,
+        inputs: output.value?.results.map(({ handle }) => handle),
+        inputZones: findZones(output.value),
+        endAt,
+        streamEndAt,
+        signal,
+        responder,
+        onInputsRead: () => output.value?.free(),
+      },
+      {
+        clock,
+        logger,
+        protocol,
+        choose,
+        budget: findBudget(poolId),
+        onMisdirected: options.onMisdirected,
+        random,
+      },
+    );
+    output.value?.free();
+    if (outcome.firstEventAt !== undefined) {
+      firstEventMs += FIRST_EVENT_WEIGHT * (outcome.firstEventAt - preparedAt - firstEventMs);
+    }
+    return outcome;
+  }
+
+  function sendFailure(
+    failure: Failure,
+    facts: CallFacts | undefined,
+    responder: Responder,
+  ): ForwardOutcome {
+    const spread = spreadRetry(failure, random);
+    const answer = protocol.buildFailure(spread, facts?.requestId);
+    responder.send(answer);
+    return { failure: spread, status: answer.status, servers: [], firstEventAt: undefined };
+  }
+
+  /** One line for each request: what was decided, on which beliefs, and how it ended. */
+  function recordOutcome(admitted: Admitted, outcome: ForwardOutcome): void {
+    const { facts, route, workspace, arrivedAt } = admitted;
+    const durationMs = clock.now() - arrivedAt;
+    const firstMs = (outcome.firstEventAt ?? clock.now()) - arrivedAt;
+    const { failure } = outcome;
+    const isAttained =
+      failure === undefined && (outcome.status ?? 0) < 400 && firstMs <= route.targetLatencyMs;
+    metrics.recordRequest({
+      pipelineId: route.pipelineId,
+      rankId: rankIdSchema.parse(`rank-${admitted.rank}`),
+      workspaceId: workspace?.workspaceId ?? PUBLIC_WORKSPACE,
+      durationMs,
+      isAttained,
+      ...(failure === undefined ? {} : { failure }),
+    });
+    logger.info('request ended', {
+      requestId: facts.requestId,
+      pipeline: route.pipelineId,
+      pool: admitted.poolId,
+      workspace: workspace?.workspaceId,
+      rank: admitted.rank,
+      version: admitted.inForce.configuration.version,
+      confirmedAgeMs: Math.round(Math.min(beliefs.confirmedAgeMs(), Number.MAX_SAFE_INTEGER)),
+      status: outcome.status,
+      reason: failure?.reason,
+      execution: failure?.execution,
+      detail: failure?.detail,
+      retryAfterMs: failure?.retryAfterMs,
+      backendServers: outcome.servers,
+      firstMs: Math.round(firstMs),
+      durationMs: Math.round(durationMs),
+      targetMs: route.targetLatencyMs,
+      timeoutMs: Math.round(admitted.endAt - arrivedAt),
+    });
+  }
+
+  async function serveCall(call: RawCall, responder: Responder, signal: AbortSignal) {
+    const facts = protocol.parseCall(call);
+    const admitted = facts.andThen((parsed) => admit(call, parsed));
+    if (admitted.isErr()) {
+      const failure = admitted.error;
+      sendFailure(failure, facts.unwrapOr(undefined), responder);
+      logger.info('request refused at the door', {
+        requestId: facts.map(({ requestId }) => requestId).unwrapOr(undefined),
+        reason: failure.reason,
+        detail: failure.detail,
+        version: beliefs.version(),
+        confirmedAgeMs: Math.round(Math.min(beliefs.confirmedAgeMs(), Number.MAX_SAFE_INTEGER)),
+      });
+      return;
+    }
+    recordOutcome(admitted.value, await serveAdmitted(admitted.value, responder, signal));
+  }
+
+  return {
+    async serve(call, responder, signal) {
+      active += 1;
+      try {
+        await serveCall(call, responder, signal);
+      } finally {
+        active -= 1;
+      }
+    },
+    countActive: () => active,
+    mayRepeat: (poolId) => findBudget(poolId).tryWithdraw(),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -0,0 +1,191 @@
+import {
+  computeRendezvousOrder,
+  createRefusal,
+  type Clock,
+  type Failure,
+  type HostId,
+  type PoolId,
+} from '@endiveferry/base';
+import type { Logger } from '@endiveferry/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { Fleet, HandleFleetRequest } from './createFleet.js';
+import {
+  cancelPiecesSchema,
+  freeResultsSchema,
+  runPiecesReplySchema,
+  runPiecesSchema,
+  type RunPieces,
+  type RunPiecesReply,
+} from './messages.js';
+import type { PieceDispatcher, PieceResult } from './pieces/createPieceDispatcher.js';
+import type { PieceGroup } from './pieces/WaitingGroup.js';
+
+/** Time beyond a request's own after which a dispatcher's answer is not waited for, in milliseconds. */
+const REPLY_SLACK_MS = 200;
+/** Short requests to a dispatcher, in milliseconds. */
+const SHORT_REQUEST_MS = 1_000;
+/** Dispatchers that one stage of a request is handed to before it fails. */
+const MAX_DISPATCHERS = 3;
+
+/**
+ * Hands the stages of requests to the host that gathers the pieces of their pool.
+ *
+ * @public
+ */
+export interface StageClient {
+  /** Makes the results of one stage of one request. */
+  run(
+    poolId: PoolId,
+    group: PieceGroup,
+    signal: AbortSignal,
+  ): Promise<Result<readonly PieceResult[], Failure>>;
+  /** Gives up results that nobody needs any more. */
+  free(poolId: PoolId, results: readonly PieceResult[]): void;
+  /** Does what other hosts ask of the dispatchers here. */
+  readonly handleRequest: HandleFleetRequest;
+}
+
+/**
+ * Options of the stage client.
+ *
+ * @public
+ */
+export interface StageClientOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly findFleet: () => Fleet;
+  /** The dispatcher of a pool on this host. */
+  readonly findDispatcher: (poolId: PoolId) => PieceDispatcher | undefined;
+}
+
+function toReply(result: Result<readonly PieceResult[], Failure>): RunPiecesReply {
+  if (result.isOk()) return { kind: 'made', results: [...result.value] };
+  const { reason, detail, retryAfterMs } = result.error;
+  const known = reason === 'deadline-exceeded' || reason === 'cancelled' || reason === 'overloaded';
+  return {
+    kind: 'failed',
+    reason: known ? reason : 'server-error',
+    detail,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+function toResult(reply: RunPiecesReply): Result<readonly PieceResult[], Failure> {
+  if (reply.kind === 'made') return ok(reply.results);
+  return err(createRefusal(reply.reason, reply.detail, reply.retryAfterMs));
+}
+
+/**
+ * Creates the client.
+ *
+ * @param options - see {@link StageClientOptions}
+ * @returns the client
+ * @public
+ */
+export function createStageClient(options: StageClientOptions): StageClient {
+  const { clock, logger, findFleet, findDispatcher } = options;
+  const orders = new Map<string, AbortController>();
+  let nextOrder = 0;
+
+  function buildOrder(poolId: PoolId, orderId: string, group: PieceGroup): RunPieces {
+    const { endAt, targetEndAt, key, inputs, ...rest } = group;
+    return {
+      ...rest,
+      poolId,
+      orderId,
+      ...(key === undefined ? {} : { key }),
+      ...(inputs === undefined ? {} : { inputs: [...inputs] }),
+      remainingMs: endAt - clock.now(),
+      targetRemainingMs: targetEndAt - clock.now(),
+    };
+  }
+
+  /** Runs a stage at another host; undefined when that host is lost or has no dispatcher. */
+  async function runAt(
+    hostId: HostId,
+    poolId: PoolId,
+    group: PieceGroup,
+    signal: AbortSignal,
+  ): Promise<Result<readonly PieceResult[], Failure> | undefined> {
+    nextOrder += 1;
+    const order = buildOrder(poolId, `${findFleet().hostId}/${nextOrder}`, group);
+    const { orderId } = order;
+    const cancel = () =>
+      void findFleet().request(hostId, 'cancel-pieces', { poolId, orderId }, SHORT_REQUEST_MS);
+    signal.addEventListener('abort', cancel, { once: true });
+    const timeoutMs = Math.max(1, order.remainingMs) + REPLY_SLACK_MS;
+    const reply = await findFleet().request(hostId, 'run-pieces', order, timeoutMs);
+    signal.removeEventListener('abort', cancel);
+    if (reply.isOk()) return toResult(runPiecesReplySchema.parse(reply.value));
+    logger.warn('a dispatcher was lost', {
+      requestId: group.requestId,
+      pool: poolId,
+      peer: hostId,
+      detail: reply.error.detail,
+    });
+    return undefined;
+  }
+
+  async function receiveOrder(body: unknown): Promise<RunPiecesReply> {
+    const { poolId, orderId, remainingMs, targetRemainingMs, ...rest } =
+      runPiecesSchema.parse(body);
+    const dispatcher = findDispatcher(poolId);
+    if (dispatcher === undefined) throw new Error(`no dispatcher of ${poolId} is here`);
+    const controller = new AbortController();
+    orders.set(orderId, controller);
+    const { key, inputs } = rest;
+    const group = {
+      ...rest,
+      key,
+      inputs,
+      endAt: clock.now() + remainingMs,
+      targetEndAt: clock.now() + targetRemainingMs,
+    };
+    try {
+      return toReply(await dispatcher.run(group, controller.signal));
+    } finally {
+      orders.delete(orderId);
+    }
+  }
+
+  const requestHandlers: Partial<Record<string, (body: unknown) => Promise<unknown>>> = {
+    'run-pieces': receiveOrder,
+    'cancel-pieces': (body) => {
+      orders.get(cancelPiecesSchema.parse(body).orderId)?.abort();
+      return Promise.resolve(true);
+    },
+    'free-results': (body) => {
+      const { poolId, results } = freeResultsSchema.parse(body);
+      findDispatcher(poolId)?.free(results);
+      return Promise.resolve(true);
+    },
+  };
+
+  const findDispatcherHosts = (poolId: PoolId) =>
+    computeRendezvousOrder(poolId, findFleet().listLive());
+
+  return {
+    async run(poolId, group, signal) {
+      for (const hostId of findDispatcherHosts(poolId).slice(0, MAX_DISPATCHERS)) {
+        if (hostId === findFleet().hostId) break;
+        const result = await runAt(hostId, poolId, group, signal);
+        if (result !== undefined) return result;
+        if (signal.aborted || clock.now() >= group.endAt) break;
+      }
+      const own = findDispatcher(poolId);
+      if (own !== undefined) return own.run(group, signal);
+      return err(createRefusal('no-backend-server', `nothing is known of pool ${poolId}`));
+    },
+    free(poolId, results) {
+      if (results.length === 0) return;
+      const [hostId] = findDispatcherHosts(poolId);
+      if (hostId === undefined || hostId === findFleet().hostId) {
+        findDispatcher(poolId)?.free(results);
+        return;
+      }
+      void findFleet().request(hostId, 'free-results', { poolId, results }, SHORT_REQUEST_MS);
+    },
+    handleRequest: (_hostId, kind, body) => requestHandlers[kind]?.(body),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/lib/createTrustClock.ts
@@ -0,0 +1,48 @@
+import type { Clock } from '@endiveferry/base';
+
+/** A disagreement of the clocks beyond this, in milliseconds, hides or fakes time; steps are larger. */
+const MAX_DISAGREEMENT_MS = 700;
+
+/** A moment on both clocks of a process. @public */
+export interface Moment {
+  readonly steadyMs: number;
+  readonly wallMs: number;
+}
+
+/**
+ * Measures ages in a process that may have been suspended: its steady clock misses that time, and
+ * its time of day may be set while it runs.
+ *
+ * @public
+ */
+export interface TrustClock {
+  takeMoment(): Moment;
+  /** The moment that lies `ageMs` before another. */
+  goBack(moment: Moment, ageMs: number): Moment;
+  /** The longest time, in milliseconds, that may have passed since; Infinity when the clocks disagree. */
+  computeAge(moment: Moment): number;
+}
+
+/**
+ * Creates a trust clock.
+ *
+ * @param clock - the process's clocks
+ * @returns the trust clock
+ * @public
+ */
+export function createTrustClock(clock: Clock): TrustClock {
+  return {
+    takeMoment: () => ({ steadyMs: clock.now(), wallMs: clock.wallTime() }),
+    goBack: (moment, ageMs) => ({
+      steadyMs: moment.steadyMs - ageMs,
+      wallMs: moment.wallMs - ageMs,
+    }),
+    computeAge(moment) {
+      const steadyMs = clock.now() - moment.steadyMs;
+      const wallMs = clock.wallTime() - moment.wallMs;
+      // A time of day that fell back may hide a suspension of any length.
+      if (wallMs < steadyMs - MAX_DISAGREEMENT_MS) return Infinity;
+      return Math.max(steadyMs, wallMs);
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/lib/messages.ts
@@ -0,0 +1,105 @@
+import {
+  availabilityZoneIdSchema,
+  backendServerIdSchema,
+  hostIdSchema,
+  poolIdSchema,
+  processIdSchema,
+  requestIdSchema,
+} from '@endiveferry/base';
+import type { HeartbeatCodec } from '@endiveferry/peers';
+import { z } from 'zod';
+
+/** Validator of a heartbeat between relay hosts. */
+const relayHeartbeatSchema = z.object({
+  processId: processIdSchema,
+  availabilityZone: availabilityZoneIdSchema,
+  /** Takes no more work; what it has is finished. */
+  isStopping: z.boolean(),
+  /** Version of the configuration in force; 0 when none is known. */
+  version: z.int(),
+  /** Time since that version was last confirmed, in milliseconds; absent when never. */
+  confirmedAgeMs: z.number().optional(),
+  /** Revision of the list of backend servers; 0 when none is known. */
+  serversRevision: z.int(),
+  /** Hosts that this one heard lately. */
+  hosts: z.array(hostIdSchema).default([]),
+  /** Waiting times at the dispatchers on this host, in milliseconds. */
+  waits: z.array(z.object({ poolId: poolIdSchema, waitMs: z.number() })).default([]),
+});
+
+/** What relay hosts tell each other all the time. @public */
+export type RelayHeartbeat = z.infer<typeof relayHeartbeatSchema>;
+
+/** Reads and writes heartbeats. @internal */
+export const relayHeartbeatCodec: HeartbeatCodec<RelayHeartbeat> = {
+  parse: (body) => relayHeartbeatSchema.parse(body),
+  compact: (heartbeat) => heartbeat,
+};
+
+/** Validator of a request to make the pieces of one stage. @internal */
+export const runPiecesSchema = z.object({
+  poolId: poolIdSchema,
+  /** Names the order among those of one host, to cancel it by. */
+  orderId: z.string(),
+  requestId: requestIdSchema,
+  stageIndex: z.int(),
+  pieceCount: z.int().min(1),
+  rank: z.int(),
+  key: z.string().optional(),
+  inputs: z.array(z.string()).optional(),
+  resultBytes: z.number(),
+  /** Time until nobody wants the results, in milliseconds. */
+  remainingMs: z.number(),
+  /** Time until the stage has to be done for the target, in milliseconds. */
+  targetRemainingMs: z.number(),
+});
+
+/** A request to make the pieces of one stage. @internal */
+export type RunPieces = z.infer<typeof runPiecesSchema>;
+
+const pieceResultSchema = z.object({ serverId: backendServerIdSchema, handle: z.string() });
+
+/** Validator of the answer to a request for pieces. @internal */
+export const runPiecesReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('made'), results: z.array(pieceResultSchema) }),
+  z.object({
+    kind: z.literal('failed'),
+    reason: z.enum(['deadline-exceeded', 'server-error', 'cancelled', 'overloaded']),
+    detail: z.string(),
+    retryAfterMs: z.number().optional(),
+  }),
+]);
+
+/** The answer to a request for pieces. @internal */
+export type RunPiecesReply = z.infer<typeof runPiecesReplySchema>;
+
+/** Validator of a request to give an order up. @internal */
+export const cancelPiecesSchema = z.object({ poolId: poolIdSchema, orderId: z.string() });
+
+/** Validator of a request to free results. @internal */
+export const freeResultsSchema = z.object({
+  poolId: poolIdSchema,
+  results: z.array(pieceResultSchema),
+});
+
+/** Validator of a configuration that a host passes on. @internal */
+export const passedConfigurationSchema = z.object({
+  text: z.string(),
+  version: z.int(),
+  confirmedAgeMs: z.number().optional(),
+});
+
+const listedServerSchema = z.object({
+  serverId: backendServerIdSchema,
+  poolId: poolIdSchema,
+  address: z.string(),
+  availabilityZone: availabilityZoneIdSchema,
+  slots: z.number(),
+  isLeaving: z.boolean(),
+});
+
+/** Validator of a list of backend servers that a host passes on. @internal */
+export const passedServersSchema = z.object({
+  revision: z.int(),
+  servers: z.array(listedServerSchema),
+});
--- /dev/null
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -0,0 +1,132 @@
+import type { StageCapacity } from '../RelayConfiguration.js';
+import type { WaitingGroup } from './WaitingGroup.js';
+
+/**
+ * What one rank is worth in waiting time, in milliseconds: a request of a less urgent rank goes
+ * first only if its target is nearer by more than this.
+ */
+const RANK_STEP_MS = 150;
+/**
+ * Part of a full round of calls that may wait before calls are filled whatever it costs their first
+ * groups: from then on throughput decides, not the time of one call.
+ */
+const FULL_ROUND_SHARE = 0.5;
+
+/** A replica that could take a call now. @public */
+export interface FreeReplica {
+  /** Its time for a call against what the configuration says; above 1 is slower. */
+  readonly slowness: number;
+  readonly freeBytes: number;
+}
+
+/** What a call is chosen from. @public */
+export interface BatchChoice<Group extends WaitingGroup> {
+  readonly waiting: readonly Group[];
+  readonly capacity: StageCapacity;
+  readonly replica: FreeReplica;
+  /** Replicas in use, this one included. */
+  readonly replicaCount: number;
+  /** Replicas without a call, this one included. */
+  readonly idleCount: number;
+  readonly now: number;
+}
+
+/** The pieces of one group that go into a call. @public */
+export interface BatchPart<Group extends WaitingGroup> {
+  readonly waiting: Group;
+  readonly pieces: readonly number[];
+}
+
+/**
+ * Estimates the time of a call.
+ *
+ * @param capacity - the pool's figures
+ * @param pieceCount - pieces in the call
+ * @param slowness - the replica's factor
+ * @returns the time, in milliseconds
+ * @public
+ */
+export function estimateCallMs(
+  capacity: StageCapacity,
+  pieceCount: number,
+  slowness: number,
+): number {
+  return (capacity.callMs + pieceCount * capacity.pieceMs) * slowness;
+}
+
+const countPieces = (groups: readonly { readonly pieces: readonly number[] }[]) =>
+  groups.reduce((sum, { pieces }) => sum + pieces.length, 0);
+
+/**
+ * Orders waiting groups: those that can still meet their target first, by how soon they must start,
+ * with a head start for urgent ranks; then the late ones, by rank and by when they end.
+ *
+ * @param waiting - the groups
+ * @param soloMs - estimates the time of a call for one group alone, in milliseconds
+ * @param now - monotonic time, in milliseconds
+ * @returns the groups, first to go first
+ * @public
+ */
+export function orderGroups<Group extends WaitingGroup>(
+  waiting: readonly Group[],
+  soloMs: (waiting: Group) => number,
+  now: number,
+): readonly Group[] {
+  const entries = waiting.map((entry) => {
+    const { group } = entry;
+    const latestStartAt = group.targetEndAt - soloMs(entry);
+    const isLate = latestStartAt < now;
+    const key = isLate ? group.endAt : latestStartAt + group.rank * RANK_STEP_MS;
+    return { entry, isLate, key };
+  });
+  entries.sort((a, b) => {
+    if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+    const byRank = a.isLate ? a.entry.group.rank - b.entry.group.rank : 0;
+    return byRank !== 0 ? byRank : a.key - b.key;
+  });
+  return entries.map(({ entry }) => entry);
+}
+
+/**
+ * Chooses the pieces of the next call of a free replica. The load that it answers: many requests
+ * bring a few pieces each, a call has a large fixed time, and requests with near targets arrive
+ * among requests that could wait.
+ *
+ * @param choice - see {@link BatchChoice}
+ * @returns the parts of the call; empty when it is better to wait
+ * @public
+ */
+export function chooseBatch<Group extends WaitingGroup>(
+  choice: BatchChoice<Group>,
+): readonly BatchPart<Group>[] {
+  const { waiting, capacity, replica, now } = choice;
+  const soloMs = ({ pieces }: Group) =>
+    estimateCallMs(capacity, Math.min(pieces.length, capacity.batch), replica.slowness);
+  const ordered = orderGroups(waiting, soloMs, now);
+  const isCrowded = countPieces(waiting) > choice.replicaCount * capacity.batch * FULL_ROUND_SHARE;
+  const parts: BatchPart<Group>[] = [];
+  let freePieces = capacity.batch;
+  let freeBytes = replica.freeBytes;
+  // The call must end before this for the groups in it that can still meet their targets.
+  let callEndAt = Infinity;
+
+  for (const entry of ordered) {
+    const { group, pieces } = entry;
+    const fitting = Math.min(pieces.length, freePieces, Math.floor(freeBytes / group.resultBytes));
+    const isFirst = parts.length === 0;
+    // A group is split only when it can't go whole: two calls for one request cost it the later one.
+    const count = fitting === pieces.length || (isFirst && fitting > 0) ? fitting : 0;
+    if (count === 0) continue;
+    const taken = capacity.batch - freePieces + count;
+    const endAt = now + estimateCallMs(capacity, taken, replica.slowness);
+    const canMeetTarget = now + soloMs(entry) <= group.targetEndAt;
+    const nextCallEndAt = canMeetTarget ? Math.min(callEndAt, group.targetEndAt) : callEndAt;
+    if (!isFirst && !isCrowded && endAt > nextCallEndAt) continue;
+    callEndAt = nextCallEndAt;
+    parts.push({ waiting: entry, pieces: pieces.slice(0, count) });
+    freePieces -= count;
+    freeBytes -= count * group.resultBytes;
+    if (freePieces === 0) break;
+  }
+  return parts;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,6 +10,17 @@
   type ServerStatus,
 } from './lib/createPoolRouter.js';
 export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
-export { createServerConnections, type ServerConnections } from './lib/createServerConnections.js';
+export {
+  createServerConnections,
+  type ConnectionOptions,
+  type ServerConnections,
+} from './lib/createServerConnections.js';
+export { createServerHealth, type ServerHealth } from './lib/createServerHealth.js';
 export { loadReportSchema, type LoadReport } from './lib/LoadReport.js';
-export { sendCall, type Call, type CallResult } from './lib/sendCall.js';
+export {
+  sendCall,
+  type AnswerHeaders,
+  type AnswerStart,
+  type Call,
+  type CallResult,
+} from './lib/sendCall.js';
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -43,15 +43,32 @@
   }
 }
 
+/**
+ * What differs between kinds of backend server.
+ *
+ * @public
+ */
+export interface ConnectionOptions {
+  /** Most connections at a time, apart from probes; calls beyond wait; `null` for no bound. */
+  readonly maxConnections?: number | null;
+  /** Path that answers while the server is alive. */
+  readonly probePath?: string;
+}
+
 /**
  * Creates the connections to one backend server; they open when first needed.
  *
  * @param address - `ip:port`
+ * @param options - see {@link ConnectionOptions}
  * @returns the connections
  * @public
  */
-export function createServerConnections(address: string): ServerConnections {
-  let shared = createDispatcher(address, null);
+export function createServerConnections(
+  address: string,
+  options: ConnectionOptions = {},
+): ServerConnections {
+  const { maxConnections = null, probePath = LOAD_PATH } = options;
+  let shared = createDispatcher(address, maxConnections);
 
   async function sendOnOwnConnection(call: Call): Promise<CallResult> {
     const own = createDispatcher(address, 1);
@@ -68,14 +85,14 @@
     async probe() {
       const result = await sendOnOwnConnection({
         method: 'GET',
-        path: LOAD_PATH,
+        path: probePath,
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       return result.kind === 'answered' ? result : undefined;
     },
     renew() {
       const old = shared;
-      shared = createDispatcher(address, null);
+      shared = createDispatcher(address, maxConnections);
       void closeQuietly(old);
     },
     close: () => closeQuietly(shared),
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -3,6 +3,8 @@
 
 /** Longest answer that is kept in memory, in bytes. */
 const MAX_ANSWER_BYTES = 16_000_000;
+/** Lower statuses are interim answers. */
+const FIRST_FINAL_STATUS = 200;
 
 /**
  * One HTTP call to a backend server.
@@ -10,10 +12,15 @@
  * @public
  */
 export interface Call {
-  readonly method: 'GET' | 'POST';
+  readonly method: string;
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Names and values by turns, which keeps repeats and their order; sent in place of `headers`. */
+  readonly rawHeaders?: readonly string[];
+  /** What is sent as JSON. */
   readonly body?: unknown;
+  /** Bytes that are sent unchanged, in place of `body`. */
+  readonly rawBody?: Buffer;
   /** Opens a connection of its own, so that no half-open one can swallow the call. */
   readonly usesOwnConnection?: boolean;
   /** Aborts the call. */
@@ -22,6 +29,26 @@
   readonly maySend?: (() => boolean) | undefined;
   /** Called with each piece of the answer's body, when the answer is to be streamed. */
   readonly onData?: (chunk: Buffer) => void;
+  /** Tells by its status and headers whether an answer is streamed; without it, those of status 200. */
+  readonly onStart?: (start: AnswerStart) => boolean;
+}
+
+/** The headers of an answer, by name in lower case. @public */
+export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/**
+ * The beginning of an answer.
+ *
+ * @public
+ */
+export interface AnswerStart {
+  readonly status: number;
+  readonly headers: AnswerHeaders;
+  /** Stops reading the answer, because whoever takes it is slower. */
+  pause(): void;
+  resume(): void;
+  /** Drops the connection; the call ends as one whose fate is unknown. */
+  abort(reason: Error): void;
 }
 
 /**
@@ -37,7 +64,7 @@
   | {
       readonly kind: 'answered';
       readonly status: number;
-      readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+      readonly headers: AnswerHeaders;
       readonly body: Buffer;
     }
   | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
@@ -57,10 +84,16 @@
   const chunks: Buffer[] = [];
   let wasSent = false;
   let status = 0;
-  let headers: Record<string, string | string[] | undefined> = {};
+  let headers: AnswerHeaders = {};
   let size = 0;
+  let isStreamed = false;
   let abortRequest: ((reason: Error) => void) | undefined;
-  const onAbort = () => abortRequest?.(new CallAbortedError('cancelled', 'the call was aborted'));
+  const onAbort = () => {
+    const detail = 'the call was aborted';
+    // Still waiting for a connection: when it gets one, it is aborted before a byte is written.
+    if (abortRequest === undefined) end({ kind: 'not-sent', reason: 'cancelled', detail });
+    else abortRequest(new CallAbortedError('cancelled', detail));
+  };
   const end = (result: CallResult) => {
     call.signal?.removeEventListener('abort', onAbort);
     finish(result);
@@ -82,18 +115,28 @@
         controller.abort(new CallAbortedError('key-unproven', detail));
       } else wasSent = true;
     },
-    onResponseStart(_controller, statusCode, responseHeaders) {
+    onResponseStart(controller, statusCode, responseHeaders) {
+      // An interim answer comes before the real one.
+      if (statusCode < FIRST_FINAL_STATUS) return;
       status = statusCode;
       headers = responseHeaders;
+      const pause = () => controller.pause();
+      const resume = () => controller.resume();
+      const abort = (reason: Error) => controller.abort(reason);
+      isStreamed =
+        call.onStart?.({ status, headers, pause, resume, abort }) ??
+        (call.onData !== undefined && status === 200);
     },
     onResponseData(controller, chunk) {
+      if (isStreamed) {
+        call.onData?.(chunk);
+        return;
+      }
       size += chunk.length;
       if (size > MAX_ANSWER_BYTES) {
         controller.abort(new Error(`the answer is longer than ${MAX_ANSWER_BYTES} bytes`));
-      } else if (call.onData === undefined || status !== 200) {
-        chunks.push(chunk);
       } else {
-        call.onData(chunk);
+        chunks.push(chunk);
       }
     },
     onResponseEnd() {
@@ -109,6 +152,11 @@
   return handler;
 }
 
+function buildHeaders({ headers, rawHeaders, body }: Call): Record<string, string> | string[] {
+  if (rawHeaders !== undefined) return [...rawHeaders];
+  return body === undefined ? { ...headers } : { ...headers, 'content-type': 'application/json' };
+}
+
 /**
  * Sends one call and waits for its end. It never throws and never sends twice.
  *
@@ -123,15 +171,13 @@
       resolve({ kind: 'not-sent', reason: 'cancelled', detail: 'aborted before it was sent' });
       return;
     }
-    const headers: Record<string, string> = { ...call.headers };
-    if (call.body !== undefined) headers['content-type'] = 'application/json';
     try {
       dispatcher.dispatch(
         {
           method: call.method,
           path: call.path,
-          headers,
-          body: call.body === undefined ? null : JSON.stringify(call.body),
+          headers: buildHeaders(call),
+          body: call.rawBody ?? (call.body === undefined ? null : JSON.stringify(call.body)),
           idempotent: false,
           reset: call.usesOwnConnection === true,
         },
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Logs, metrics, and the record behind `endiveferry explain`. */
 export { createLatencyHistogram, type LatencyHistogram } from './lib/createLatencyHistogram.js';
+export { createLineWriter, type LineWriter } from './lib/createLineWriter.js';
 export {
   createLogger,
   setLogWriter,
