Choose engines by all hosts' tokens; keep calls near their inputs; drain replicas of stages

Hosts now tell each other the prompt tokens that are not read yet, and each engine's reading speed is learnt. Ruled out: back-pressure towards callers.

Cause of the largest price (1.2 GB of results between zones): calls went to any free replica.

A server's signed failures no longer eject it: requests of some kinds fail often for their own reasons.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -122,6 +122,7 @@
     backends,
     stages,
     countHosts,
+    countOtherTokens,
     estimateWaitMs,
     onMisdirected: onGone,
   });
@@ -143,6 +144,14 @@
     dispatchers.update(pools, servers.list());
   }
 
+  function countOtherTokens(serverId: BackendServerId): number {
+    const pending = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.pending);
+    return pending.reduce(
+      (sum, entry) => sum + (entry.serverId === serverId ? entry.tokens : 0),
+      0,
+    );
+  }
+
   /** The waiting time that the pool's dispatcher, here or elsewhere, told last. */
   function estimateWaitMs(poolId: PoolId): number {
     if (computeRendezvousOrder(poolId, fleet.listLive())[0] === fleet.hostId) {
@@ -189,7 +198,7 @@
     beliefs,
     servers,
     isStopping: () => isStopping,
-    listWaits: dispatchers.listWaits,
+    buildLoad: () => ({ waits: dispatchers.listWaits(), pending: backends.listPending() }),
     handleRequest: stages.handleRequest,
   });
   await listener.listen(place.callersAddress);
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -12,12 +12,16 @@
 const FAILING_MS = 2_000;
 /** Cost of a call to another availability zone, in milliseconds: two ways of a millisecond or two. */
 const OTHER_ZONE_MS = 4;
-/** Time to read one prompt token, in milliseconds; engines read 50 to 120 tokens in one. */
-const READ_TOKEN_MS = 0.015;
 /** What the home of a prompt's shared part is preferred by, in milliseconds. */
 const HOME_MS = 25;
-/** Cost of fetching results from another availability zone, in milliseconds. */
-const REMOTE_INPUTS_MS = 20;
+/**
+ * Cost of fetching a megabyte of results from another availability zone, in milliseconds: traffic
+ * between zones is dear enough to wait for an engine nearby while targets allow it.
+ */
+const REMOTE_MB_MS = 250;
+const BYTES_PER_MB = 1_000_000;
+/** Cost of each request that an engine generates for, in milliseconds: it slows every step. */
+const GENERATING_MS = 2;
 /** Random part of a cost, in milliseconds, so that hosts with equal views don't choose alike. */
 const JITTER_MS = 2;
 
@@ -35,8 +39,16 @@
 export interface EngineChoice extends BackendChoice {
   readonly promptParts: readonly PromptPart[];
   readonly cache: PromptCache;
-  /** Where the results that it reads lie. */
-  readonly inputZones: readonly AvailabilityZoneId[];
+  /** The results that it reads: how many bytes lie in which zone. */
+  readonly inputs: readonly InputBytes[];
+  /** Prompt tokens that other hosts' requests still have to be read there. */
+  readonly countOtherTokens: (serverId: BackendServerId) => number;
+}
+
+/** Results that lie in one availability zone. @public */
+export interface InputBytes {
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly bytes: number;
 }
 
 function computeLoadMs(backend: Backend): number {
@@ -95,19 +107,24 @@
  * @public
  */
 export function chooseEngine(choice: EngineChoice): Backend | undefined {
-  const { promptParts, cache, inputZones } = choice;
+  const { promptParts, cache, inputs } = choice;
   const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
   const shared = promptParts.at(-2);
   const homeId = shared === undefined ? undefined : findHome(shared.partId, choice.candidates);
   return chooseCheapest(choice, (backend) => {
     const { serverId, availabilityZone } = backend.server;
     const missing = promptTokens - cache.countCached(serverId, promptParts);
-    const remoteInputs = inputZones.filter((zone) => zone !== availabilityZone).length;
+    const ahead = backend.pendingTokens() + choice.countOtherTokens(serverId);
+    const remoteBytes = inputs.reduce(
+      (sum, input) => sum + (input.availabilityZone === availabilityZone ? 0 : input.bytes),
+      0,
+    );
     return (
       computeBaseCost(backend, choice) +
-      missing * READ_TOKEN_MS +
+      (missing + ahead) * backend.tokenMs() +
+      backend.running() * GENERATING_MS +
       (serverId === homeId ? 0 : HOME_MS) +
-      (inputZones.length === 0 ? 0 : (remoteInputs / inputZones.length) * REMOTE_INPUTS_MS)
+      (remoteBytes / BYTES_PER_MB) * REMOTE_MB_MS
     );
   });
 }
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -18,6 +18,15 @@
 const FAILURE_HALF_LIFE_MS = 4_000;
 /** The largest part of a pool that may be ejected at a time. */
 const MAX_EJECTED_SHARE = 0.5;
+/** Time to read one prompt token before any was measured, in milliseconds; engines read 50 to 120 in one. */
+const FIRST_TOKEN_MS = 0.015;
+/** Bounds of what a measurement may say, in milliseconds: a queue is not a reading speed. */
+const MIN_TOKEN_MS = 0.004;
+const MAX_TOKEN_MS = 0.1;
+/** Prompts shorter than this, in tokens, tell little of the reading speed. */
+const MEASURED_TOKENS = 1_500;
+/** Weight of the newest prompt in the reading time. */
+const TOKEN_WEIGHT = 0.15;
 /** A reported load older than this, in milliseconds, says nothing. */
 const REPORT_VALID_MS = 1_500;
 
@@ -33,19 +42,35 @@
   readonly failureShare: () => number;
   /** The load of its last answer; undefined when that is too old. */
   readonly reportedLoad: () => ReportedLoad | undefined;
-  startCall(): void;
-  endCall(): void;
+  /** Prompt tokens of this host's calls that the server has not read yet. */
+  readonly pendingTokens: () => number;
+  /** Time that the server takes to read one prompt token, in milliseconds. */
+  readonly tokenMs: () => number;
+  /** Notes a call whose prompt has `promptTokens` to be read; 0 for other calls. */
+  startCall(promptTokens: number): RunningCall;
   recordLoad(load: ReportedLoad): void;
   recordSuccess(): void;
+  /** The server answered that it failed, which requests of some kinds often do. */
+  recordErrorAnswer(): void;
+  /** The server gave no answer. */
   recordFailure(): void;
 }
 
+/** A call that runs at a backend server. @public */
+export interface RunningCall {
+  /** The prompt was read: the first event came; further calls change nothing. */
+  recordFirstEvent(): void;
+  end(): void;
+}
+
 /** The backend servers of all pools. @public */
 export interface Backends {
   /** Takes over the list; what is known of servers that stay is kept. */
   update(servers: readonly ListedServer[], pools: ReadonlyMap<PoolId, RelayPool>): void;
   find(serverId: BackendServerId): Backend | undefined;
   listPool(poolId: PoolId): readonly Backend[];
+  /** Prompt tokens that servers have not read yet, for servers that have any. */
+  readonly listPending: () => { readonly serverId: BackendServerId; readonly tokens: number }[];
   /** Replaces all connections, because this process stood still. */
   renewConnections(): void;
   close(): Promise<void>;
@@ -97,6 +122,8 @@
     );
     const failures = { share: 0, at: clock.now() };
     let running = 0;
+    let pendingTokens = 0;
+    let tokenMs = FIRST_TOKEN_MS;
     let report: { readonly load: ReportedLoad; readonly at: number } | undefined;
 
     function findFailureShare(): number {
@@ -120,11 +147,32 @@
         report !== undefined && clock.now() - report.at <= REPORT_VALID_MS
           ? report.load
           : undefined,
-      startCall() {
+      pendingTokens: () => pendingTokens,
+      tokenMs: () => tokenMs,
+      startCall(promptTokens: number) {
+        const startedAt = clock.now();
+        const ahead = pendingTokens + promptTokens;
+        let unread = promptTokens;
         running += 1;
-      },
-      endCall() {
-        running -= 1;
+        pendingTokens += promptTokens;
+        const takeUnread = () => {
+          pendingTokens -= unread;
+          unread = 0;
+        };
+        return {
+          recordFirstEvent() {
+            if (unread >= MEASURED_TOKENS) {
+              const measured = (clock.now() - startedAt) / ahead;
+              const bounded = Math.min(MAX_TOKEN_MS, Math.max(MIN_TOKEN_MS, measured));
+              tokenMs += TOKEN_WEIGHT * (bounded - tokenMs);
+            }
+            takeUnread();
+          },
+          end() {
+            running -= 1;
+            takeUnread();
+          },
+        };
       },
       recordLoad(load: ReportedLoad) {
         report = { load, at: clock.now() };
@@ -133,6 +181,7 @@
         recordOutcome(false);
         health.recordSuccess();
       },
+      recordErrorAnswer: () => recordOutcome(true),
       recordFailure() {
         recordOutcome(true);
         health.recordFailure(canEject(server.poolId));
@@ -159,6 +208,11 @@
     },
     find: (serverId) => backends.get(serverId),
     listPool,
+    listPending: () =>
+      [...backends].flatMap(([serverId, backend]) => {
+        const tokens = backend.pendingTokens();
+        return tokens > 0 ? [{ serverId, tokens }] : [];
+      }),
     renewConnections() {
       for (const { connections } of backends.values()) connections.renew();
     },
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -23,8 +23,8 @@
 } from './messages.js';
 import type { HostPlace, WireProtocol } from './ports.js';
 
-/** Waiting times and news of the configuration are this fresh, in milliseconds. */
-const HEARTBEAT_INTERVAL_MS = 500;
+/** Waiting times, loads and news of the configuration are this fresh, in milliseconds. */
+const HEARTBEAT_INTERVAL_MS = 400;
 /** A host that was not heard for so long, in milliseconds, gets no work. */
 const LIVE_MS = 1_500;
 /** A host that nobody heard for so long, in milliseconds, is forgotten. */
@@ -77,7 +77,8 @@
   readonly beliefs: Beliefs;
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
-  readonly listWaits: () => RelayHeartbeat['waits'];
+  /** What this host tells of its dispatchers and of the engines that it uses. */
+  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending'>;
   readonly handleRequest: HandleFleetRequest;
 }
 
@@ -120,7 +121,7 @@
       hosts: [...known].flatMap(([id, { directAt }]) =>
         clock.now() - directAt < LIVE_MS ? [id] : [],
       ),
-      waits: options.listWaits(),
+      ...options.buildLoad(),
     };
   }
 
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -2,7 +2,6 @@
   createRefusal,
   rankIdSchema,
   workspaceIdSchema,
-  type AvailabilityZoneId,
   type BackendServerId,
   type Clock,
   type Failure,
@@ -13,7 +12,7 @@
 import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
-import { chooseEngine, choosePlainServer } from './chooseBackend.js';
+import { chooseEngine, choosePlainServer, type InputBytes } from './chooseBackend.js';
 import type { Backends } from './createBackends.js';
 import type { Beliefs, ConfigurationInForce } from './createBeliefs.js';
 import { createPromptCache } from './createPromptCache.js';
@@ -62,6 +61,8 @@
   readonly backends: Backends;
   readonly stages: StageClient;
   readonly countHosts: () => number;
+  /** Prompt tokens that other hosts' requests still have to be read at an engine. */
+  readonly countOtherTokens: (serverId: BackendServerId) => number;
   /** Time until a stage of a pool would start, in milliseconds. */
   readonly estimateWaitMs: (poolId: PoolId) => number;
   /** Tells of a server that another one took the address of. */
@@ -196,6 +197,8 @@
         targetAt: admitted.arrivedAt + route.targetLatencyMs,
         firstEventMs,
         signal,
+        clock,
+        findZone: (serverId) => backends.find(serverId)?.server.availabilityZone,
       },
       options.stages,
     );
@@ -208,18 +211,31 @@
       availabilityZone: place.availabilityZone,
       jitter: () => random.nextFraction(),
     };
-    if (request.route.kind !== 'streaming') return choosePlainServer(choice);
+    if (request.route.kind !== 'streaming') {
+      const backend = choosePlainServer(choice);
+      return backend === undefined ? undefined : { backend, promptTokens: 0 };
+    }
     const { promptParts } = request.facts;
-    const { inputZones } = request;
-    const engine = chooseEngine({ ...choice, promptParts, inputZones, cache: promptCache });
-    if (engine !== undefined) promptCache.recordSent(engine.server.serverId, promptParts);
-    return engine;
+    const backend = chooseEngine({
+      ...choice,
+      promptParts,
+      inputs: request.inputBytes,
+      cache: promptCache,
+      countOtherTokens: options.countOtherTokens,
+    });
+    if (backend === undefined) return undefined;
+    const { serverId } = backend.server;
+    const promptTokens =
+      promptParts.reduce((sum, { tokens }) => sum + tokens, 0) -
+      promptCache.countCached(serverId, promptParts);
+    promptCache.recordSent(serverId, promptParts);
+    return { backend, promptTokens };
   }
 
-  function findZones(output: StagesOutput | undefined): readonly AvailabilityZoneId[] {
-    return (output?.results ?? []).flatMap(({ serverId }) => {
-      const zone = backends.find(serverId)?.server.availabilityZone;
-      return zone === undefined ? [] : [zone];
+  function findInputBytes(output: StagesOutput | undefined): readonly InputBytes[] {
+    return (output?.results ?? []).flatMap(({ serverId, bytes }) => {
+      const availabilityZone = backends.find(serverId)?.server.availabilityZone;
+      return availabilityZone === undefined ? [] : [{ availabilityZone, bytes }];
     });
   }
 
@@ -241,7 +257,7 @@
         workspaceId: workspace?.workspaceId,
         rank,
         inputs: output.value?.results.map(({ handle }) => handle),
-        inputZones: findZones(output.value),
+        inputBytes: findInputBytes(output.value),
         endAt,
         streamEndAt,
         signal,
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -89,13 +89,17 @@
   let nextOrder = 0;
 
   function buildOrder(poolId: PoolId, orderId: string, group: PieceGroup): RunPieces {
-    const { endAt, targetEndAt, key, inputs, ...rest } = group;
+    const { endAt, targetEndAt, inputsExpireAt, key, inputs, homeZone, ...rest } = group;
     return {
       ...rest,
       poolId,
       orderId,
       ...(key === undefined ? {} : { key }),
       ...(inputs === undefined ? {} : { inputs: [...inputs] }),
+      ...(homeZone === undefined ? {} : { homeZone }),
+      ...(Number.isFinite(inputsExpireAt)
+        ? { inputsRemainingMs: inputsExpireAt - clock.now() }
+        : {}),
       remainingMs: endAt - clock.now(),
       targetRemainingMs: targetEndAt - clock.now(),
     };
@@ -128,17 +132,19 @@
   }
 
   async function receiveOrder(body: unknown): Promise<RunPiecesReply> {
-    const { poolId, orderId, remainingMs, targetRemainingMs, ...rest } =
+    const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
       runPiecesSchema.parse(body);
     const dispatcher = findDispatcher(poolId);
     if (dispatcher === undefined) throw new Error(`no dispatcher of ${poolId} is here`);
     const controller = new AbortController();
     orders.set(orderId, controller);
-    const { key, inputs } = rest;
+    const { key, inputs, homeZone } = rest;
     const group = {
       ...rest,
       key,
       inputs,
+      homeZone,
+      inputsExpireAt: clock.now() + (inputsRemainingMs ?? Infinity),
       endAt: clock.now() + remainingMs,
       targetEndAt: clock.now() + targetRemainingMs,
     };
--- a/packages/relay/src/lib/forwardCall.ts
+++ b/packages/relay/src/lib/forwardCall.ts
@@ -3,7 +3,6 @@
   mergeExecution,
   NO_LONGER_NEEDED,
   waitFor,
-  type AvailabilityZoneId,
   type BackendServerId,
   type Clock,
   type Execution,
@@ -16,7 +15,8 @@
 import type { AnswerStart } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
-import type { Backend } from './createBackends.js';
+import type { InputBytes } from './chooseBackend.js';
+import type { Backend, RunningCall } from './createBackends.js';
 import { createStreamRelay, type StreamRelay } from './createStreamRelay.js';
 import type { CallFacts, RawCall, WireProtocol } from './ports.js';
 import { findExecution, readAttempt, type AttemptEnd } from './readAttempt.js';
@@ -44,7 +44,8 @@
   readonly workspaceId: WorkspaceId | undefined;
   readonly rank: number;
   readonly inputs: readonly string[] | undefined;
-  readonly inputZones: readonly AvailabilityZoneId[];
+  /** Where the inputs lie. */
+  readonly inputBytes: readonly InputBytes[];
   /** Monotonic time at which an answer must have begun, in milliseconds. */
   readonly endAt: number;
   /** Monotonic time at which a stream that has begun must be over, in milliseconds. */
@@ -64,12 +65,18 @@
   readonly choose: (
     request: ForwardRequest,
     tried: ReadonlySet<BackendServerId>,
-  ) => Backend | undefined;
+  ) => ChosenBackend | undefined;
   readonly budget: RetryBudget;
   readonly random: Random;
   readonly onMisdirected: (serverId: BackendServerId) => void;
 }
 
+/** A backend server with the prompt tokens that it has to read for the request. @public */
+export interface ChosenBackend {
+  readonly backend: Backend;
+  readonly promptTokens: number;
+}
+
 /** How a request was answered. @public */
 export interface ForwardOutcome {
   /** Undefined when the caller got a backend server's answer. */
@@ -90,6 +97,7 @@
   execution: Execution;
   firstEventAt: number | undefined;
   lastEventAt: number;
+  running: RunningCall | undefined;
 }
 
 /** Ends an attempt when the caller leaves, time is up, or a repeatable one is silent for too long. */
@@ -134,7 +142,10 @@
   return isStream;
 }
 
-async function runAttempt(state: ForwardState, backend: Backend): Promise<AttemptEnd> {
+async function runAttempt(
+  state: ForwardState,
+  { backend, promptTokens }: ChosenBackend,
+): Promise<AttemptEnd> {
   const { request, ports, relay } = state;
   const { call, facts, route } = request;
   const attempt = new AbortController();
@@ -144,7 +155,8 @@
   void watchAttempt(state, attempt, mayRepeat);
   const stream = { hasBegun: false };
   const lastAt = route.kind === 'streaming' ? request.streamEndAt : request.endAt;
-  backend.startCall();
+  const running = backend.startCall(promptTokens);
+  state.running = running;
   const result = await backend.connections.send({
     method: call.method,
     path: call.target,
@@ -164,7 +176,7 @@
     },
     onData: (chunk) => relay.push(chunk),
   });
-  backend.endCall();
+  running.end();
   attempt.abort(NO_LONGER_NEEDED);
   request.signal.removeEventListener('abort', abort);
   const end = readAttempt(result, facts.requestId, ports.protocol);
@@ -178,6 +190,7 @@
   if ('facts' in end && end.facts.load !== undefined) backend.recordLoad(end.facts.load);
   if (end.kind === 'success') backend.recordSuccess();
   else if (end.kind === 'refused' && end.facts.isMisdirected) ports.onMisdirected(serverId);
+  else if (end.kind === 'failure-answer') backend.recordErrorAnswer();
   // The caller's leaving says nothing of the server.
   else if (end.kind !== 'refused' && !request.signal.aborted) backend.recordFailure();
   if (end.kind === 'success') return;
@@ -277,6 +290,7 @@
       state.lastEventAt = clock.now();
       if (state.firstEventAt !== undefined) return;
       state.firstEventAt = state.lastEventAt;
+      state.running?.recordFirstEvent();
       request.onInputsRead();
     },
   });
@@ -290,14 +304,16 @@
     execution: 'not-run',
     firstEventAt: undefined,
     lastEventAt: 0,
+    running: undefined,
   };
   ports.budget.recordFirstTry();
   let end: AttemptEnd | undefined;
   for (;;) {
-    const backend = ports.choose(request, state.tried);
-    if (backend === undefined) return answerCaller(state, end);
+    const chosen = ports.choose(request, state.tried);
+    if (chosen === undefined) return answerCaller(state, end);
+    const { backend } = chosen;
     state.tried.add(backend.server.serverId);
-    end = await runAttempt(state, backend);
+    end = await runAttempt(state, chosen);
     if (end.kind !== 'not-sent') state.sent += 1;
     state.execution = mergeExecution(state.execution, findExecution(end));
     recordAttempt(state, backend, end);
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -25,6 +25,8 @@
   hosts: z.array(hostIdSchema).default([]),
   /** Waiting times at the dispatchers on this host, in milliseconds. */
   waits: z.array(z.object({ poolId: poolIdSchema, waitMs: z.number() })).default([]),
+  /** Prompt tokens of this host's requests that engines have not read yet. */
+  pending: z.array(z.object({ serverId: backendServerIdSchema, tokens: z.number() })).default([]),
 });
 
 /** What relay hosts tell each other all the time. @public */
@@ -47,6 +49,10 @@
   rank: z.int(),
   key: z.string().optional(),
   inputs: z.array(z.string()).optional(),
+  homeZone: availabilityZoneIdSchema.optional(),
+  inputBytes: z.number(),
+  /** Time for which the inputs are kept, in milliseconds; absent without inputs. */
+  inputsRemainingMs: z.number().optional(),
   resultBytes: z.number(),
   /** Time until nobody wants the results, in milliseconds. */
   remainingMs: z.number(),
--- a/packages/relay/src/lib/pieces/WaitingGroup.ts
+++ b/packages/relay/src/lib/pieces/WaitingGroup.ts
@@ -1,4 +1,4 @@
-import type { RequestId } from '@endiveferry/base';
+import type { AvailabilityZoneId, RequestId } from '@endiveferry/base';
 
 /**
  * Pieces of one stage of one request, as the dispatcher of their pool sees them.
@@ -15,6 +15,12 @@
   readonly key: string | undefined;
   /** Handles of all results that each piece needs. */
   readonly inputs: readonly string[] | undefined;
+  /** Where most of the inputs lie; undefined for stages without inputs. */
+  readonly homeZone: AvailabilityZoneId | undefined;
+  /** Bytes of inputs that all pieces together fetch. */
+  readonly inputBytes: number;
+  /** Monotonic time until which the inputs are kept, in milliseconds. */
+  readonly inputsExpireAt: number;
   /** Approximate size of one result, in bytes. */
   readonly resultBytes: number;
   /** Monotonic time at which nobody wants the results any more, in milliseconds. */
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -1,3 +1,5 @@
+import type { AvailabilityZoneId } from '@endiveferry/base';
+
 import type { StageCapacity } from '../RelayConfiguration.js';
 import type { WaitingGroup } from './WaitingGroup.js';
 
@@ -12,8 +14,21 @@
  */
 const FULL_ROUND_SHARE = 0.5;
 
+/**
+ * How long a group waits for a replica near its inputs, in milliseconds for each megabyte that
+ * another one would fetch from another availability zone.
+ */
+const HOLD_MB_MS = 200;
+const MAX_HOLD_MS = 600;
+const BYTES_PER_MB = 1_000_000;
+/** A group that must start within this time, in milliseconds, takes any replica. */
+const HURRY_MS = 50;
+/** Inputs that are given up sooner than this, in milliseconds, make their group go first. */
+const EXPIRY_MARGIN_MS = 800;
+
 /** A replica that could take a call now. @public */
 export interface FreeReplica {
+  readonly availabilityZone: AvailabilityZoneId;
   /** Its time for a call against what the configuration says; above 1 is slower. */
   readonly slowness: number;
   readonly freeBytes: number;
@@ -29,6 +44,8 @@
   /** Replicas without a call, this one included. */
   readonly idleCount: number;
   readonly now: number;
+  /** Availability zones with replicas in use. */
+  readonly zones: ReadonlySet<AvailabilityZoneId>;
 }
 
 /** The pieces of one group that go into a call. @public */
@@ -75,8 +92,11 @@
   const entries = waiting.map((entry) => {
     const { group } = entry;
     const latestStartAt = group.targetEndAt - soloMs(entry);
-    const isLate = latestStartAt < now;
-    const key = isLate ? group.endAt : latestStartAt + group.rank * RANK_STEP_MS;
+    const startBefore = group.inputsExpireAt - EXPIRY_MARGIN_MS;
+    const isLate = latestStartAt < now && startBefore > now;
+    const key = isLate
+      ? group.endAt
+      : Math.min(latestStartAt + group.rank * RANK_STEP_MS, startBefore);
     return { entry, isLate, key };
   });
   entries.sort((a, b) => {
@@ -87,6 +107,19 @@
   return entries.map(({ entry }) => entry);
 }
 
+/** Whether a group should rather wait for a replica in the zone of its inputs. */
+function isHeld<Group extends WaitingGroup>(
+  { group, arrivedAt }: Group,
+  choice: BatchChoice<Group>,
+  latestStartAt: number,
+): boolean {
+  const { homeZone, inputBytes } = group;
+  const isAway = homeZone !== undefined && homeZone !== choice.replica.availabilityZone;
+  if (!isAway || !choice.zones.has(homeZone)) return false;
+  const holdMs = Math.min(MAX_HOLD_MS, (inputBytes / BYTES_PER_MB) * HOLD_MB_MS);
+  return choice.now - arrivedAt < holdMs && latestStartAt - choice.now > HURRY_MS;
+}
+
 /**
  * Chooses the pieces of the next call of a free replica. The load that it answers: many requests
  * bring a few pieces each, a call has a large fixed time, and requests with near targets arrive
@@ -112,6 +145,7 @@
 
   for (const entry of ordered) {
     const { group, pieces } = entry;
+    if (isHeld(entry, choice, group.targetEndAt - soloMs(entry))) continue;
     const fitting = Math.min(pieces.length, freePieces, Math.floor(freeBytes / group.resultBytes));
     const isFirst = parts.length === 0;
     // A group is split only when it can't go whole: two calls for one request cost it the later one.
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -114,7 +114,7 @@
       byServer.set(serverId, [...(byServer.get(serverId) ?? []), handle]);
     }
     for (const [serverId, handles] of byServer) {
-      const server = replicas.find(serverId)?.server;
+      const server = replicas.find(serverId)?.server();
       if (server !== undefined) options.sendFree(server, handles);
     }
     look();
@@ -134,10 +134,19 @@
   function findIdle(slots: number): ReplicaState[] {
     return replicas
       .list()
-      .filter((state) => !state.server.isLeaving && !state.isResting() && state.running() < slots)
+      .filter((state) => !state.server().isLeaving && !state.isResting() && state.running() < slots)
       .sort((a, b) => a.slowness() - b.slowness());
   }
 
+  const listZones = () =>
+    new Set(
+      replicas
+        .list()
+        .flatMap((state) =>
+          state.server().isLeaving || state.isResting() ? [] : [state.server().availabilityZone],
+        ),
+    );
+
   function look(): void {
     if (capacity === undefined) return;
     dropExpired();
@@ -147,10 +156,15 @@
       const parts = chooseBatch({
         waiting,
         capacity,
-        replica: { slowness: replica.slowness(), freeBytes: replica.freeBytes(capacity) },
+        replica: {
+          availabilityZone: replica.server().availabilityZone,
+          slowness: replica.slowness(),
+          freeBytes: replica.freeBytes(capacity),
+        },
         replicaCount: replicas.list().length,
         idleCount: findIdle(capacity.slots).length,
         now: clock.now(),
+        zones: listZones(),
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
     }
@@ -187,7 +201,7 @@
     const startedAt = clock.now();
     replica.startCall(bytes);
     const answer = await options.sendPieces(
-      replica.server,
+      replica.server(),
       slots.map(({ entry: { group }, pieceIndex }) => ({
         requestId: group.requestId,
         stageIndex: group.stageIndex,
@@ -202,7 +216,7 @@
     const measuredMs = clock.now() - startedAt;
     logger.debug('a call of pieces ended', {
       pool: poolId,
-      backendServer: replica.server.serverId,
+      backendServer: replica.server().serverId,
       groups: parts.length,
       pieces: slots.length,
       waiting: countWaiting(),
@@ -236,7 +250,7 @@
     handle: string,
     ttlMs: number,
   ): void {
-    const result = { serverId: replica.server.serverId, handle };
+    const result = { serverId: replica.server().serverId, handle };
     replica.addResult(handle, entry.group.resultBytes, ttlMs);
     if (entry.isEnded || entry.results[pieceIndex] !== undefined) {
       free([result]);
@@ -283,13 +297,13 @@
     full: (replica) => replica.recordFull(),
     gone: (replica) => {
       replica.recordFailure();
-      options.onGone(replica.server.serverId);
+      options.onGone(replica.server().serverId);
     },
     failed: (replica, answer) => {
       replica.recordFailure();
       logger.warn('a call of pieces failed', {
         pool: poolId,
-        backendServer: replica.server.serverId,
+        backendServer: replica.server().serverId,
         detail: answer.kind === 'failed' ? answer.detail : answer.kind,
       });
     },
@@ -332,7 +346,7 @@
       if (capacity === undefined) return 0;
       const usable = replicas
         .list()
-        .filter((state) => !state.isResting() && !state.server.isLeaving);
+        .filter((state) => !state.isResting() && !state.server().isLeaving);
       const calls = countWaiting() / capacity.batch;
       const callMs = estimateCallMs(capacity, capacity.batch, 1);
       return usable.length === 0 ? callMs : (calls / usable.length) * callMs;
--- a/packages/relay/src/lib/pieces/createReplicaStates.ts
+++ b/packages/relay/src/lib/pieces/createReplicaStates.ts
@@ -12,7 +12,9 @@
 
 /** What the dispatcher knows of one replica. @public */
 export interface ReplicaState {
-  readonly server: ListedServer;
+  readonly server: () => ListedServer;
+  /** Takes over what the list says of the replica now. */
+  setServer(server: ListedServer): void;
   readonly running: () => number;
   readonly slowness: () => number;
   readonly isResting: () => boolean;
@@ -32,7 +34,8 @@
   removeResult(handle: string): boolean;
 }
 
-function createReplicaState(server: ListedServer, clock: Clock): ReplicaState {
+function createReplicaState(first: ListedServer, clock: Clock): ReplicaState {
+  let server = first;
   const results = new Map<string, { readonly bytes: number; readonly expiresAt: number }>();
   let running = 0;
   let reservedBytes = 0;
@@ -50,7 +53,10 @@
   }
 
   return {
-    server,
+    server: () => server,
+    setServer(next) {
+      server = next;
+    },
     running: () => running,
     slowness: () => slowness,
     isResting: () => clock.now() < restsUntil,
@@ -102,10 +108,12 @@
     update(servers) {
       const listed = new Map(servers.map((server) => [server.serverId, server]));
       for (const [serverId, state] of states) {
-        if (listed.get(serverId)?.address !== state.server.address) states.delete(serverId);
+        if (listed.get(serverId)?.address !== state.server().address) states.delete(serverId);
       }
       for (const [serverId, server] of listed) {
-        if (!states.has(serverId)) states.set(serverId, createReplicaState(server, clock));
+        const known = states.get(serverId);
+        if (known === undefined) states.set(serverId, createReplicaState(server, clock));
+        else known.setServer(server);
       }
     },
     list: () => [...states.values()],
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -1,4 +1,12 @@
-import { NO_LONGER_NEEDED, type Failure, type PoolId, type RequestId } from '@endiveferry/base';
+import {
+  NO_LONGER_NEEDED,
+  type AvailabilityZoneId,
+  type BackendServerId,
+  type Clock,
+  type Failure,
+  type PoolId,
+  type RequestId,
+} from '@endiveferry/base';
 import { err, ok, type Result } from 'neverthrow';
 
 import type { StageClient } from './createStageClient.js';
@@ -21,11 +29,19 @@
   /** Expected time from the last stage to the first event, in milliseconds. */
   readonly firstEventMs: number;
   readonly signal: AbortSignal;
+  readonly clock: Clock;
+  /** Where a replica stands. */
+  readonly findZone: (serverId: BackendServerId) => AvailabilityZoneId | undefined;
+}
+
+/** A result with its approximate size, in bytes. @public */
+export interface SizedResult extends PieceResult {
+  readonly bytes: number;
 }
 
 /** The results that the engine reads. @public */
 export interface StagesOutput {
-  readonly results: readonly PieceResult[];
+  readonly results: readonly SizedResult[];
   /** Gives the results up; further calls do nothing. */
   free(): void;
 }
@@ -49,6 +65,9 @@
   const readersLeft = route.stages.map((_, index) => countReaders(route, pieceCounts, index));
   const failed = new AbortController();
   const signal = AbortSignal.any([run.signal, failed.signal]);
+  const isRead = (index: number) => countReaders(route, pieceCounts, index) > 0;
+  const chainEnd = findChainEnd(route, pieceCounts);
+  const chainEndStage = route.stages[chainEnd];
 
   function freeStage(index: number): void {
     const poolId = route.stages[index]?.poolId;
@@ -67,13 +86,18 @@
     const stage = route.stages[index];
     const pieceCount = pieceCounts[index] ?? 0;
     if (stage === undefined || pieceCount === 0) return ok([]);
-    const inputs: string[] = [];
-    for (const earlier of stage.after) {
+    const isFirst = stage.after.length === 0;
+    const inputs: SizedResult[] = [];
+    // A stage beside the longest chain starts with the chain's last stage, so that its results don't
+    // take up room, or expire, while the chain is under way.
+    const waitsFor = isFirst && index !== chainEnd ? (chainEndStage?.after ?? []) : stage.after;
+    for (const earlier of isFirst && isRead(index) ? [] : waitsFor) {
       const result = await startStage(earlier);
       if (result.isErr()) return err(result.error);
-      inputs.push(...result.value.map(({ handle }) => handle));
+      const bytes = route.stages[earlier]?.resultBytes ?? 0;
+      if (!isFirst) inputs.push(...result.value.map((made) => ({ ...made, bytes })));
     }
-    const isFirst = stage.after.length === 0;
+    const inputsExpireAt = isFirst ? Infinity : run.clock.now() + findKeptMs(run, stage.after);
     const result = await client.run(
       stage.poolId,
       {
@@ -82,7 +106,10 @@
         pieceCount,
         rank: run.rank,
         key: isFirst ? run.pieceKey : undefined,
-        inputs: isFirst ? undefined : inputs,
+        inputs: isFirst ? undefined : inputs.map(({ handle }) => handle),
+        homeZone: findHomeZone(inputs, run.findZone),
+        inputBytes: pieceCount * inputs.reduce((sum, { bytes }) => sum + bytes, 0),
+        inputsExpireAt,
         resultBytes: stage.resultBytes,
         endAt: run.endAt,
         targetEndAt: run.targetAt - (tails[index] ?? 0),
@@ -111,16 +138,19 @@
       return [];
     }),
   );
-  const last = route.stages.flatMap((_, index) =>
-    countReaders(route, pieceCounts, index) === 0 ? [index] : [],
-  );
+  const last = route.stages.flatMap((_, index) => (isRead(index) ? [] : [index]));
   if (firstFailure !== undefined) {
     for (const index of last) freeStage(index);
     return err(firstFailure);
   }
   let isFreed = false;
   return ok({
-    results: last.flatMap((index) => results[index] ?? []),
+    results: last.flatMap((index) =>
+      (results[index] ?? []).map((result) => ({
+        ...result,
+        bytes: route.stages[index]?.resultBytes ?? 0,
+      })),
+    ),
     free() {
       if (isFreed) return;
       isFreed = true;
@@ -129,6 +159,42 @@
   });
 }
 
+/** Finds the last stage of the longest chain of stages. */
+function findChainEnd(route: Route, pieceCounts: readonly number[]): number {
+  const depths: number[] = [];
+  let end = 0;
+  route.stages.forEach(({ after }, index) => {
+    depths[index] = 1 + Math.max(0, ...after.map((earlier) => depths[earlier] ?? 0));
+    const runs = (pieceCounts[index] ?? 0) > 0;
+    if (runs && (depths[index] ?? 0) > (depths[end] ?? 0)) end = index;
+  });
+  return end;
+}
+
+/** The shortest time, in milliseconds, for which any of some stages' results are kept. */
+function findKeptMs({ route, pools }: StagesRun, stages: readonly number[]): number {
+  const times = stages.flatMap((index) => {
+    const poolId = route.stages[index]?.poolId;
+    const capacity = poolId === undefined ? undefined : pools.get(poolId)?.stage;
+    return capacity === undefined ? [] : [capacity.resultTtlMs];
+  });
+  return Math.min(Infinity, ...times);
+}
+
+/** Finds the zone that holds most bytes. */
+function findHomeZone(
+  inputs: readonly SizedResult[],
+  findZone: StagesRun['findZone'],
+): AvailabilityZoneId | undefined {
+  const bytesByZone = new Map<AvailabilityZoneId, number>();
+  for (const { serverId, bytes } of inputs) {
+    const zone = findZone(serverId);
+    if (zone !== undefined) bytesByZone.set(zone, (bytesByZone.get(zone) ?? 0) + bytes);
+  }
+  const [largest] = [...bytesByZone].sort((a, b) => b[1] - a[1]);
+  return largest?.[0];
+}
+
 /** Counts the stages that run and read the results of another. */
 function countReaders(route: Route, pieceCounts: readonly number[], index: number): number {
   return route.stages.filter(
