--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -148,8 +148,9 @@
     if (isHeld(entry, choice, group.targetEndAt - soloMs(entry))) continue;
     const fitting = Math.min(pieces.length, freePieces, Math.floor(freeBytes / group.resultBytes));
     const isFirst = parts.length === 0;
-    // A group is split only when it can't go whole: two calls for one request cost it the later one.
-    const count = fitting === pieces.length || (isFirst && fitting > 0) ? fitting : 0;
+    // A group is split only when no call can hold it: two calls for one request cost it the later one.
+    const maySplit = isFirst && pieces.length > capacity.batch;
+    const count = fitting === pieces.length || maySplit ? fitting : 0;
     if (count === 0) continue;
     const taken = capacity.batch - freePieces + count;
     const endAt = now + estimateCallMs(capacity, taken, replica.slowness);
--- a/packages/telemetry/src/lib/createMetrics.ts
+++ b/packages/telemetry/src/lib/createMetrics.ts
@@ -175,8 +175,10 @@
         workspace: workspaceId,
         attained: String(isAttained),
       });
-      if (failure !== undefined) failures.inc({ ...failure, rank: rankId });
-      else {
+      if (failure !== undefined) {
+        const { reason, execution } = failure;
+        failures.inc({ reason, execution, rank: rankId });
+      } else {
         recordRank(rankId, durationMs);
         recordWorkspace(workspaceId, durationMs);
       }
