--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -32,6 +32,7 @@
   readonly backends: Backends;
   readonly onGone: (serverId: BackendServerId) => void;
   readonly mayRepeat: (poolId: PoolId) => boolean;
+  readonly estimateWaitMs: (poolId: PoolId) => number;
 }
 
 /**
@@ -106,6 +107,7 @@
             sendFree,
             onGone: options.onGone,
             mayRepeat: () => options.mayRepeat(poolId),
+            estimateWaitMs: options.estimateWaitMs,
           });
         dispatchers.set(poolId, dispatcher);
         dispatcher.update(
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -108,6 +108,7 @@
     backends,
     onGone,
     mayRepeat: (poolId) => service.mayRepeat(poolId),
+    estimateWaitMs: (poolId) => estimateWaitMs(poolId),
   });
   const findFleet = () => fleet;
   const stages = createStageClient({ clock, logger, findFleet, findDispatcher: dispatchers.find });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -48,3 +48,4 @@
   WeightedPool,
 } from './lib/RelayConfiguration.js';
 export type { Responder } from './lib/Responder.js';
+export { runStages, type SizedResult, type StagesOutput, type StagesRun } from './lib/runStages.js';
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -89,11 +89,12 @@
   let nextOrder = 0;
 
   function buildOrder(poolId: PoolId, orderId: string, group: PieceGroup): RunPieces {
-    const { endAt, targetEndAt, inputsExpireAt, key, inputs, homeZone, ...rest } = group;
+    const { endAt, targetEndAt, inputsExpireAt, key, inputs, homeZone, followers, ...rest } = group;
     return {
       ...rest,
       poolId,
       orderId,
+      followers: [...followers],
       ...(key === undefined ? {} : { key }),
       ...(inputs === undefined ? {} : { inputs: [...inputs] }),
       ...(homeZone === undefined ? {} : { homeZone }),
--- a/packages/relay/src/lib/pieces/WaitingGroup.ts
+++ b/packages/relay/src/lib/pieces/WaitingGroup.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZoneId, RequestId } from '@endiveferry/base';
+import type { AvailabilityZoneId, PoolId, RequestId } from '@endiveferry/base';
 
 /**
  * Pieces of one stage of one request, as the dispatcher of their pool sees them.
@@ -21,6 +21,8 @@
   readonly inputBytes: number;
   /** Monotonic time until which the inputs are kept, in milliseconds. */
   readonly inputsExpireAt: number;
+  /** Pools of the stages that follow. */
+  readonly followers: readonly PoolId[];
   /** Approximate size of one result, in bytes. */
   readonly resultBytes: number;
   /** Monotonic time at which nobody wants the results any more, in milliseconds. */
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZoneId } from '@endiveferry/base';
+import type { AvailabilityZoneId, PoolId } from '@endiveferry/base';
 
 import type { StageCapacity } from '../RelayConfiguration.js';
 import type { WaitingGroup } from './WaitingGroup.js';
@@ -7,7 +7,7 @@
  * What one rank is worth in waiting time, in milliseconds: a request of a less urgent rank goes
  * first only if its target is nearer by more than this.
  */
-const RANK_STEP_MS = 150;
+const RANK_STEP_MS = 50;
 /**
  * Part of a full round of calls that may wait before calls are filled whatever it costs their first
  * groups: from then on throughput decides, not the time of one call.
@@ -26,6 +26,14 @@
 /** Inputs that are given up sooner than this, in milliseconds, make their group go first. */
 const EXPIRY_MARGIN_MS = 800;
 
+/**
+ * Work that may wait at a following stage, in milliseconds, before no more is begun for it: about one
+ * round of full calls. What waits before its first stage takes no room and does not expire.
+ */
+const MAX_FOLLOWING_WAIT_MS = 1000;
+/** Part of the waiting time at a following stage that an urgent enough group has to expect. */
+const FOLLOWING_WAIT_SHARE = 2;
+
 /** A replica that could take a call now. @public */
 export interface FreeReplica {
   readonly availabilityZone: AvailabilityZoneId;
@@ -46,6 +54,8 @@
   readonly now: number;
   /** Availability zones with replicas in use. */
   readonly zones: ReadonlySet<AvailabilityZoneId>;
+  /** Time that work waits at the pool of a following stage, in milliseconds. */
+  readonly estimateWaitMs: (poolId: PoolId) => number;
 }
 
 /** The pieces of one group that go into a call. @public */
@@ -79,19 +89,19 @@
  * with a head start for urgent ranks; then the late ones, by rank and by when they end.
  *
  * @param waiting - the groups
- * @param soloMs - estimates the time of a call for one group alone, in milliseconds
+ * @param findLatestStart - the latest time at which a group can start and meet its target
  * @param now - monotonic time, in milliseconds
  * @returns the groups, first to go first
  * @public
  */
 export function orderGroups<Group extends WaitingGroup>(
   waiting: readonly Group[],
-  soloMs: (waiting: Group) => number,
+  findLatestStart: (waiting: Group) => number,
   now: number,
 ): readonly Group[] {
   const entries = waiting.map((entry) => {
     const { group } = entry;
-    const latestStartAt = group.targetEndAt - soloMs(entry);
+    const latestStartAt = findLatestStart(entry);
     const startBefore = group.inputsExpireAt - EXPIRY_MARGIN_MS;
     const isLate = latestStartAt < now && startBefore > now;
     const key = isLate
@@ -120,6 +130,15 @@
   return choice.now - arrivedAt < holdMs && latestStartAt - choice.now > HURRY_MS;
 }
 
+/** Whether the stages that follow have more than enough to do. */
+function isBlocked<Group extends WaitingGroup>(
+  { group }: Group,
+  choice: BatchChoice<Group>,
+): boolean {
+  if (group.inputsExpireAt - EXPIRY_MARGIN_MS < choice.now) return false;
+  return group.followers.some((poolId) => choice.estimateWaitMs(poolId) > MAX_FOLLOWING_WAIT_MS);
+}
+
 /**
  * Chooses the pieces of the next call of a free replica. The load that it answers: many requests
  * bring a few pieces each, a call has a large fixed time, and requests with near targets arrive
@@ -135,7 +154,13 @@
   const { waiting, capacity, replica, now } = choice;
   const soloMs = ({ pieces }: Group) =>
     estimateCallMs(capacity, Math.min(pieces.length, capacity.batch), replica.slowness);
-  const ordered = orderGroups(waiting, soloMs, now);
+  // Waiting at the stages that follow is to be expected, so the target is missed that much earlier.
+  const findLatestStart = (entry: Group) =>
+    entry.group.targetEndAt -
+    soloMs(entry) -
+    FOLLOWING_WAIT_SHARE *
+      entry.group.followers.reduce((sum, poolId) => sum + choice.estimateWaitMs(poolId), 0);
+  const ordered = orderGroups(waiting, findLatestStart, now);
   const isCrowded = countPieces(waiting) > choice.replicaCount * capacity.batch * FULL_ROUND_SHARE;
   const parts: BatchPart<Group>[] = [];
   let freePieces = capacity.batch;
@@ -145,7 +170,8 @@
 
   for (const entry of ordered) {
     const { group, pieces } = entry;
-    if (isHeld(entry, choice, group.targetEndAt - soloMs(entry))) continue;
+    if (isBlocked(entry, choice)) continue;
+    if (isHeld(entry, choice, findLatestStart(entry))) continue;
     const fitting = Math.min(pieces.length, freePieces, Math.floor(freeBytes / group.resultBytes));
     const isFirst = parts.length === 0;
     // A group is split only when no call can hold it: two calls for one request cost it the later one.
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -64,6 +64,7 @@
     sendFree: (_server, handles) => freed.push(...handles),
     onGone: (serverId) => gone.push(serverId),
     mayRepeat: () => true,
+    estimateWaitMs: () => 0,
   });
   function run(
     name: string,
@@ -81,6 +82,7 @@
         homeZone: undefined,
         inputBytes: 0,
         inputsExpireAt: Infinity,
+        followers: [],
         resultBytes: 1_000,
         endAt: clock.now() + 10_000,
         targetEndAt: clock.now() + 3_000,
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -70,6 +70,8 @@
   readonly sendFree: (server: ListedServer, handles: readonly string[]) => void;
   /** Tells of a server that another one took the address of. */
   readonly onGone: (serverId: BackendServerId) => void;
+  /** Time that work waits at another pool, in milliseconds, as far as this host knows. */
+  readonly estimateWaitMs: (poolId: PoolId) => number;
   /** Asked before pieces are sent once more. */
   readonly mayRepeat: () => boolean;
 }
@@ -165,6 +167,7 @@
         idleCount: findIdle(capacity.slots).length,
         now: clock.now(),
         zones: listZones(),
+        estimateWaitMs: options.estimateWaitMs,
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
     }
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -110,6 +110,7 @@
         homeZone: findHomeZone(inputs, run.findZone),
         inputBytes: pieceCount * inputs.reduce((sum, { bytes }) => sum + bytes, 0),
         inputsExpireAt,
+        followers: listFollowers(route, pieceCounts, index),
         resultBytes: stage.resultBytes,
         endAt: run.endAt,
         targetEndAt: run.targetAt - (tails[index] ?? 0),
@@ -195,6 +196,21 @@
   return largest?.[0];
 }
 
+/** Lists the pools of all stages that run after another, near or far. */
+function listFollowers(
+  route: Route,
+  pieceCounts: readonly number[],
+  index: number,
+): readonly PoolId[] {
+  const followers = new Set<PoolId>();
+  route.stages.forEach((stage, reader) => {
+    if ((pieceCounts[reader] ?? 0) === 0 || !stage.after.includes(index)) return;
+    followers.add(stage.poolId);
+    for (const poolId of listFollowers(route, pieceCounts, reader)) followers.add(poolId);
+  });
+  return [...followers];
+}
+
 /** Counts the stages that run and read the results of another. */
 function countReaders(route: Route, pieceCounts: readonly number[], index: number): number {
   return route.stages.filter(
