Keep shared prompt parts together; let one reading of the store serve all hosts

Hosts tell each other, so a host reads only when the confirmation that it knows is older than a second; watches wait longer.

platform/ has stand-ins of the store and of backend servers of every kind, and 17 tests run whole hosts before them: keys, routes, smuggling, at most once, refusals, stages, streams that go on elsewhere, a lost store, forgotten history, leaving servers, passing the configuration on, stopping.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -55,8 +55,16 @@
 
 /** A running relay host. @public */
 export interface RelayHost {
+  /** The addresses in use. */
+  readonly addresses: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly metrics: string;
+  };
   /** Stops gracefully: no request in progress is cut off before the grace is over. */
   stop(): Promise<void>;
+  /** Ends everything at once, as a crash would. */
+  close(): Promise<void>;
   /** Notes in the log that settings were read again. */
   noteReload(detail: string): void;
   /** Notes a fault of the program that no task answers for. */
@@ -202,7 +210,7 @@
     buildLoad: () => ({ waits: dispatchers.listWaits(), pending: backends.listPending() }),
     handleRequest: stages.handleRequest,
   });
-  await listener.listen(place.callersAddress);
+  const callers = await listener.listen(place.callersAddress);
   options.startSource({
     clock,
     trustClock,
@@ -210,9 +218,13 @@
     logger,
     supervisor: supervisor.createChild('store'),
     listener: storeListener,
+    confirmedAgeMs: beliefs.confirmedAgeMs,
   });
-  await readiness.listen(place.readinessAddress);
-  await metricsListener.listen(options.metricsAddress);
+  const addresses = {
+    callers,
+    readiness: await readiness.listen(place.readinessAddress),
+    metrics: await metricsListener.listen(options.metricsAddress),
+  };
   supervisor.spawn('pauses', createPauseWatch(clock, SHORTEST_PAUSE_MS, distrustConnections));
   logger.info('started', {
     process: processId,
@@ -232,6 +244,14 @@
   }
 
   return {
+    addresses,
+    async close() {
+      for (const server of [listener, readiness, metricsListener]) server.destroy();
+      await Promise.all([listener.close(), readiness.close(), metricsListener.close()]);
+      await fleet.close();
+      await supervisor.stop();
+      await backends.close();
+    },
     async stop() {
       if (isStopping) return;
       isStopping = true;
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -12,8 +12,11 @@
 const FAILING_MS = 2_000;
 /** Cost of a call to another availability zone, in milliseconds: two ways of a millisecond or two. */
 const OTHER_ZONE_MS = 4;
-/** What the home of a prompt's shared part is preferred by, in milliseconds. */
-const HOME_MS = 25;
+/**
+ * What a shared prompt token is worth that need not be read again, in milliseconds of waiting: much
+ * more than its reading takes, because it is read at the cost of all others and paid for besides.
+ */
+const SHARED_TOKEN_MS = 0.15;
 /**
  * Cost of fetching a megabyte of results from another availability zone, in milliseconds: traffic
  * between zones is dear enough to wait for an engine nearby while targets allow it.
@@ -109,11 +112,17 @@
 export function chooseEngine(choice: EngineChoice): Backend | undefined {
   const { promptParts, cache, inputs } = choice;
   const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
-  const shared = promptParts.at(-2);
+  // The last part is the request's own; the one before it is the most particular that others share.
+  const sharedParts = promptParts.slice(0, -1);
+  const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const shared = sharedParts.at(-1);
   const homeId = shared === undefined ? undefined : findHome(shared.partId, choice.candidates);
   return chooseCheapest(choice, (backend) => {
     const { serverId, availabilityZone } = backend.server;
-    const missing = promptTokens - cache.countCached(serverId, promptParts);
+    const isHome = serverId === homeId;
+    // Other hosts send requests that share the part to its home, too.
+    const cached = isHome ? sharedTokens : cache.countCached(serverId, sharedParts);
+    const missingShared = sharedTokens - cached;
     const ahead = backend.pendingTokens() + choice.countOtherTokens(serverId);
     const remoteBytes = inputs.reduce(
       (sum, input) => sum + (input.availabilityZone === availabilityZone ? 0 : input.bytes),
@@ -121,9 +130,9 @@
     );
     return (
       computeBaseCost(backend, choice) +
-      (missing + ahead) * backend.tokenMs() +
+      (promptTokens - cached + ahead) * backend.tokenMs() +
+      missingShared * SHARED_TOKEN_MS +
       backend.running() * GENERATING_MS +
-      (serverId === homeId ? 0 : HOME_MS) +
       (remoteBytes / BYTES_PER_MB) * REMOTE_MB_MS
     );
   });
@@ -132,8 +141,8 @@
 /** All hosts find the same home, so that requests with a common part meet there. */
 function findHome(partId: string, candidates: readonly Backend[]): BackendServerId | undefined {
   let best: { readonly serverId: BackendServerId; readonly score: number } | undefined;
-  for (const { server } of candidates) {
-    if (server.isLeaving) continue;
+  for (const { server, maxRunning } of candidates) {
+    if (server.isLeaving || maxRunning() === 0) continue;
     const score = computeHash(`${partId}\u0000${server.serverId}`);
     if (best === undefined || score > best.score) best = { serverId: server.serverId, score };
   }
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -162,6 +162,8 @@
   readonly logger: Logger;
   readonly supervisor: Supervisor;
   readonly listener: StoreListener;
+  /** Time since the configuration was last confirmed, by the store or through another host, in milliseconds. */
+  readonly confirmedAgeMs: () => number;
 }
 
 /** Where this process stands, and what it may use; all but addresses may change while it runs. @public */
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -27,6 +27,7 @@
 const knownRed = readKnownRed();
 const files = ['packages', 'apps']
   .flatMap((folder) => readdirSync(folder).map((name) => join(folder, name, 'dist')))
+  .concat(join('platform', 'dist'))
   .filter((folder) => existsSync(folder))
   .flatMap(findTests);
 const stream = run({
