--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -13,6 +13,7 @@
 } from '@endiveferry/base';
 import {
   createPieceDispatcher,
+  findWaitMs,
   runStages,
   type ListedServer,
   type PieceCall,
@@ -20,6 +21,7 @@
   type PieceFailure,
   type PieceOutcome,
   type PiecesAnswer,
+  type RankWait,
   type RelayPool,
   type Route,
   type StageClient,
@@ -81,7 +83,7 @@
   >;
   readonly roomUsed: Map<string, number>;
   /** Waiting times as hosts tell them at intervals. */
-  readonly waits: Map<PoolId, number>;
+  readonly waits: Map<PoolId, readonly RankWait[]>;
   readonly counts: { calls: number; pieces: number; remoteBytes: number };
   readonly byPool: Record<string, PoolCounts>;
 }
@@ -206,7 +208,7 @@
     },
     onGone: () => undefined,
     mayRepeat: () => true,
-    estimateWaitMs: (other) => world.waits.get(other) ?? 0,
+    estimateWaitMs: (other, rank) => findWaitMs(world.waits.get(other) ?? [], rank),
   });
   dispatcher.update(
     buildPool(pool).stage,
@@ -353,7 +355,7 @@
   for (let at = 0; at < load.lengthMs + longest; at += STEP_MS) {
     if (at % REPORT_INTERVAL_MS === 0) {
       for (const [poolId, dispatcher] of dispatchers) {
-        world.waits.set(poolId, dispatcher.estimateWaitMs());
+        world.waits.set(poolId, dispatcher.listWaits());
       }
     }
     await clock.advance(STEP_MS);
--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -6,6 +6,7 @@
   type PieceDispatcher,
   type PiecesAnswer,
   type ListedServer,
+  type RankWait,
   type RelayPool,
   type WireProtocol,
 } from '@endiveferry/relay';
@@ -18,8 +19,8 @@
 /** The dispatchers of all stage pools on this host. @internal */
 export interface Dispatchers {
   readonly find: (poolId: PoolId) => PieceDispatcher | undefined;
-  /** Waiting times, in milliseconds, of dispatchers that have work. */
-  readonly listWaits: () => { readonly poolId: PoolId; readonly waitMs: number }[];
+  /** Waiting times at dispatchers that have work. */
+  readonly listWaits: () => { readonly poolId: PoolId; readonly byRank: RankWait[] }[];
   readonly countWaiting: () => number;
   update(pools: ReadonlyMap<PoolId, RelayPool>, servers: readonly ListedServer[]): void;
 }
@@ -32,7 +33,7 @@
   readonly backends: Backends;
   readonly onGone: (serverId: BackendServerId) => void;
   readonly mayRepeat: (poolId: PoolId) => boolean;
-  readonly estimateWaitMs: (poolId: PoolId) => number;
+  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
 }
 
 /**
@@ -89,8 +90,8 @@
     find: (poolId) => dispatchers.get(poolId),
     listWaits: () =>
       [...dispatchers].flatMap(([poolId, dispatcher]) => {
-        const waitMs = Math.round(dispatcher.estimateWaitMs());
-        return waitMs > 0 ? [{ poolId, waitMs }] : [];
+        const byRank = [...dispatcher.listWaits()];
+        return byRank.length > 0 ? [{ poolId, byRank }] : [];
       }),
     countWaiting: () =>
       [...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.countWaiting(), 0),
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -21,6 +21,7 @@
   createServerList,
   createStageClient,
   createTrustClock,
+  findWaitMs,
   type Fleet,
   type HostPlace,
   type RelayService,
@@ -116,7 +117,7 @@
     backends,
     onGone,
     mayRepeat: (poolId) => service.mayRepeat(poolId),
-    estimateWaitMs: (poolId) => estimateWaitMs(poolId),
+    estimateWaitMs: (poolId, rank) => estimateWaitMs(poolId, rank),
   });
   const findFleet = () => fleet;
   const stages = createStageClient({ clock, logger, findFleet, findDispatcher: dispatchers.find });
@@ -162,15 +163,13 @@
   }
 
   /** The waiting time that the pool's dispatcher, here or elsewhere, told last. */
-  function estimateWaitMs(poolId: PoolId): number {
+  function estimateWaitMs(poolId: PoolId, rank: number): number {
     if (computeRendezvousOrder(poolId, fleet.listLive())[0] === fleet.hostId) {
-      return dispatchers.find(poolId)?.estimateWaitMs() ?? 0;
+      return findWaitMs(dispatchers.find(poolId)?.listWaits() ?? [], rank);
     }
     const waits = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.waits);
-    return Math.max(
-      0,
-      ...waits.filter((wait) => wait.poolId === poolId).map((wait) => wait.waitMs),
-    );
+    const own = waits.filter((wait) => wait.poolId === poolId);
+    return Math.max(0, ...own.map(({ byRank }) => findWaitMs(byRank, rank)));
   }
 
   const storeListener: StoreListener = {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -15,6 +15,7 @@
   type PieceDispatcher,
   type PiecesAnswer,
 } from './lib/pieces/createPieceDispatcher.js';
+export { findWaitMs, type RankWait } from './lib/pieces/RankWait.js';
 export type {
   AnswerFacts,
   BackendRequest,
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -64,7 +64,7 @@
   /** Prompt tokens that other hosts' requests still have to be read at an engine. */
   readonly countOtherTokens: (serverId: BackendServerId) => number;
   /** Time until a stage of a pool would start, in milliseconds. */
-  readonly estimateWaitMs: (poolId: PoolId) => number;
+  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
   /** Tells of a server that another one took the address of. */
   readonly onMisdirected: (serverId: BackendServerId) => void;
 }
@@ -172,7 +172,10 @@
         (facts.pieceCounts[index] ?? 0) > 0 ? [poolId] : [],
       ),
     );
-    const waitMs = [...pools].reduce((sum, poolId) => sum + options.estimateWaitMs(poolId), 0);
+    const waitMs = [...pools].reduce(
+      (sum, poolId) => sum + options.estimateWaitMs(poolId, admitted.rank),
+      0,
+    );
     if (clock.now() + waitMs + firstEventMs < endAt) return undefined;
     return createRefusal('overloaded', 'the stages cannot be done in time', waitMs / 2);
   }
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -9,6 +9,8 @@
 import type { HeartbeatCodec } from '@endiveferry/peers';
 import { z } from 'zod';
 
+import { rankWaitSchema } from './pieces/RankWait.js';
+
 /** Validator of a heartbeat between relay hosts. */
 const relayHeartbeatSchema = z.object({
   processId: processIdSchema,
@@ -23,8 +25,8 @@
   serversRevision: z.int(),
   /** Hosts that this one heard lately. */
   hosts: z.array(hostIdSchema).default([]),
-  /** Waiting times at the dispatchers on this host, in milliseconds. */
-  waits: z.array(z.object({ poolId: poolIdSchema, waitMs: z.number() })).default([]),
+  /** Waiting times at the dispatchers on this host. */
+  waits: z.array(z.object({ poolId: poolIdSchema, byRank: z.array(rankWaitSchema) })).default([]),
   /** Prompt tokens of this host's requests that engines have not read yet. */
   pending: z.array(z.object({ serverId: backendServerIdSchema, tokens: z.number() })).default([]),
 });
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -8,6 +8,8 @@
  * first only if its target is nearer by more than this.
  */
 const RANK_STEP_MS = 50;
+/** The same in a crowd, where not all can meet their targets: urgent ranks go first. */
+const CROWDED_RANK_STEP_MS = 300;
 /**
  * Part of a full round of calls that may wait before calls are filled whatever it costs their first
  * groups: from then on throughput decides, not the time of one call.
@@ -54,8 +56,8 @@
   readonly now: number;
   /** Availability zones with replicas in use. */
   readonly zones: ReadonlySet<AvailabilityZoneId>;
-  /** Time that work waits at the pool of a following stage, in milliseconds. */
-  readonly estimateWaitMs: (poolId: PoolId) => number;
+  /** Time that work of a rank waits at the pool of a following stage, in milliseconds; Infinity for all. */
+  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
 }
 
 /** The pieces of one group that go into a call. @public */
@@ -91,6 +93,7 @@
  * @param waiting - the groups
  * @param findLatestStart - the latest time at which a group can start and meet its target
  * @param now - monotonic time, in milliseconds
+ * @param rankStepMs - head start of each rank before the next, in milliseconds
  * @returns the groups, first to go first
  * @public
  */
@@ -98,6 +101,7 @@
   waiting: readonly Group[],
   findLatestStart: (waiting: Group) => number,
   now: number,
+  rankStepMs: number,
 ): readonly Group[] {
   const entries = waiting.map((entry) => {
     const { group } = entry;
@@ -106,7 +110,7 @@
     const isLate = latestStartAt < now && startBefore > now;
     const key = isLate
       ? group.endAt
-      : Math.min(latestStartAt + group.rank * RANK_STEP_MS, startBefore);
+      : Math.min(latestStartAt + group.rank * rankStepMs, startBefore);
     return { entry, isLate, key };
   });
   entries.sort((a, b) => {
@@ -136,7 +140,9 @@
   choice: BatchChoice<Group>,
 ): boolean {
   if (group.inputsExpireAt - EXPIRY_MARGIN_MS < choice.now) return false;
-  return group.followers.some((poolId) => choice.estimateWaitMs(poolId) > MAX_FOLLOWING_WAIT_MS);
+  return group.followers.some(
+    (poolId) => choice.estimateWaitMs(poolId, Infinity) > MAX_FOLLOWING_WAIT_MS,
+  );
 }
 
 /**
@@ -159,9 +165,13 @@
     entry.group.targetEndAt -
     soloMs(entry) -
     FOLLOWING_WAIT_SHARE *
-      entry.group.followers.reduce((sum, poolId) => sum + choice.estimateWaitMs(poolId), 0);
-  const ordered = orderGroups(waiting, findLatestStart, now);
+      entry.group.followers.reduce(
+        (sum, poolId) => sum + choice.estimateWaitMs(poolId, entry.group.rank),
+        0,
+      );
   const isCrowded = countPieces(waiting) > choice.replicaCount * capacity.batch * FULL_ROUND_SHARE;
+  const rankStepMs = isCrowded ? CROWDED_RANK_STEP_MS : RANK_STEP_MS;
+  const ordered = orderGroups(waiting, findLatestStart, now, rankStepMs);
   const parts: BatchPart<Group>[] = [];
   let freePieces = capacity.batch;
   let freeBytes = replica.freeBytes;
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -12,6 +12,7 @@
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
 import { chooseBatch, estimateCallMs, type BatchPart } from './chooseBatch.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
+import type { RankWait } from './RankWait.js';
 import type { PieceGroup, WaitingGroup } from './WaitingGroup.js';
 
 /** Calls that one piece may be in before its request fails; a piece may be made again. */
@@ -47,8 +48,8 @@
   /** Gives up results that nobody needs any more. */
   free(results: readonly PieceResult[]): void;
   update(capacity: StageCapacity, servers: readonly ListedServer[]): void;
-  /** Time until a group that came now would start, in milliseconds. */
-  readonly estimateWaitMs: () => number;
+  /** How long groups that came now would wait, by rank, most urgent first. */
+  readonly listWaits: () => readonly RankWait[];
   /** Pieces that wait. */
   readonly countWaiting: () => number;
 }
@@ -71,7 +72,7 @@
   /** Tells of a server that another one took the address of. */
   readonly onGone: (serverId: BackendServerId) => void;
   /** Time that work waits at another pool, in milliseconds, as far as this host knows. */
-  readonly estimateWaitMs: (poolId: PoolId) => number;
+  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
   /** Asked before pieces are sent once more. */
   readonly mayRepeat: () => boolean;
 }
@@ -345,14 +346,22 @@
       replicas.update(servers);
       look();
     },
-    estimateWaitMs() {
-      if (capacity === undefined) return 0;
+    listWaits() {
+      if (capacity === undefined) return [];
       const usable = replicas
         .list()
-        .filter((state) => !state.isResting() && !state.server().isLeaving);
-      const calls = countWaiting() / capacity.batch;
+        .filter((state) => !state.isResting() && !state.server().isLeaving).length;
       const callMs = estimateCallMs(capacity, capacity.batch, 1);
-      return usable.length === 0 ? callMs : (calls / usable.length) * callMs;
+      const pieceMs = callMs / capacity.batch / Math.max(1, usable);
+      const pieces = new Map<number, number>();
+      for (const { group, pieces: waiting } of queue) {
+        if (waiting.length === 0) continue;
+        pieces.set(group.rank, (pieces.get(group.rank) ?? 0) + waiting.length);
+      }
+      let waitMs = 0;
+      return [...pieces]
+        .sort(([first], [second]) => first - second)
+        .map(([rank, count]) => ({ rank, waitMs: (waitMs += count * pieceMs) }));
     },
     countWaiting,
   };
