Refuse late requests before their first stage; take a reset for no end

A request is refused, not run, when its first stage cannot be begun in time given the waits by rank ahead of it, on arrival or when it turns late; the caller learns when all waits are over.

Connections are watched from their first moment, and an answer that ends within the handling of a connection's error is not whole. Test: "an answer without a length that is reset was taken for whole".

--- /dev/null
+++ b/apps/bench/bin/loads.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runLoads } from '@endiveferry/bench';
+
+await runLoads(process.argv.slice(2));
--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -307,10 +307,17 @@
     firstMs: [],
   }));
 
-  async function serve(kind: RequestKind, result: KindResult, index: number): Promise<void> {
-    const arrivedAt = clock.now();
-    result.asked += 1;
-    result.owed += kind.worth;
+  async function serve(
+    kind: RequestKind,
+    result: KindResult,
+    index: number,
+    arrivedAt = clock.now(),
+  ): Promise<void> {
+    const isRetry = clock.now() > arrivedAt;
+    if (!isRetry) {
+      result.asked += 1;
+      result.owed += kind.worth;
+    }
     const output = await runStages(
       {
         requestId: requestIdSchema.parse(`${kind.name}-${index}`),
@@ -331,7 +338,15 @@
       client,
     );
     if (output.isErr()) {
-      result.failed += 1;
+      const { retryAfterMs } = output.error;
+      if (retryAfterMs === undefined || isRetry) {
+        result.failed += 1;
+        return;
+      }
+      // A caller comes back once, and waits no longer than a third of the time that is left.
+      const leftMs = arrivedAt + kind.deadlineMs - clock.now();
+      await later(clock, Math.min(leftMs / 3, retryAfterMs * (1 + random.nextFraction())));
+      await serve(kind, result, index, arrivedAt);
       return;
     }
     await later(clock, kind.firstEventMs);
--- /dev/null
+++ b/packages/relay/src/lib/createEventSplitter.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import { createEventSplitter } from './createEventSplitter.js';
+
+test('property: events come out whole and unchanged however the bytes are cut', () => {
+  const eventText = fc
+    .tuple(fc.integer({ min: 1, max: 999 }), fc.string({ maxLength: 20 }))
+    .map(([id, text]) => `id: ${id}\ndata: ${text.replace(/[\r\n]/g, '')}é\n\n`);
+  fc.assert(
+    fc.property(fc.array(eventText), fc.array(fc.nat(30)), (events, cuts) => {
+      const bytes = Buffer.from(events.join(''));
+      const splitter = createEventSplitter();
+      const found: Buffer[] = [];
+      let at = 0;
+      for (const length of [...cuts, bytes.length]) {
+        const chunk = bytes.subarray(at, at + length);
+        at += chunk.length;
+        found.push(...splitter.push(chunk).map((event) => event.bytes));
+      }
+      assert.deepEqual(found.map(String), events);
+      assert.equal(splitter.rest().length, 0);
+    }),
+  );
+});
+
+test('an event that is not whole is kept back', () => {
+  const splitter = createEventSplitter();
+  assert.deepEqual(
+    splitter.push(Buffer.from('id: 7\r\ndata: a\r\n\r\nid: 8\r\nda')).map(({ eventId }) => eventId),
+    [7],
+  );
+  assert.equal(splitter.rest().toString(), 'id: 8\r\nda');
+});
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -53,6 +53,7 @@
   inputs: z.array(z.string()).optional(),
   homeZone: availabilityZoneIdSchema.optional(),
   inputBytes: z.number(),
+  isEntry: z.boolean(),
   followers: z.array(poolIdSchema),
   /** Time for which the inputs are kept, in milliseconds; absent without inputs. */
   inputsRemainingMs: z.number().optional(),
--- a/packages/relay/src/lib/pieces/WaitingGroup.ts
+++ b/packages/relay/src/lib/pieces/WaitingGroup.ts
@@ -21,6 +21,8 @@
   readonly inputBytes: number;
   /** Monotonic time until which the inputs are kept, in milliseconds. */
   readonly inputsExpireAt: number;
+  /** Nothing of the request has been worked on, so it can be refused for nothing. */
+  readonly isEntry: boolean;
   /** Pools of the stages that follow. */
   readonly followers: readonly PoolId[];
   /** Approximate size of one result, in bytes. */
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -26,13 +26,13 @@
 /** A group that must start within this time, in milliseconds, takes any replica. */
 const HURRY_MS = 50;
 /** Inputs that are given up sooner than this, in milliseconds, make their group go first. */
-const EXPIRY_MARGIN_MS = 800;
+const EXPIRY_MARGIN_MS = 1_000;
 
 /**
- * Work that may wait at a following stage, in milliseconds, before no more is begun for it: about one
- * round of full calls. What waits before its first stage takes no room and does not expire.
+ * Work that may wait at a following stage, in milliseconds, before no more is begun for it: about two
+ * rounds of full calls. What waits before its first stage takes no room and does not expire.
  */
-const MAX_FOLLOWING_WAIT_MS = 1000;
+const MAX_FOLLOWING_WAIT_MS = 850;
 /** Part of the waiting time at a following stage that an urgent enough group has to expect. */
 const FOLLOWING_WAIT_SHARE = 2;
 
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -82,6 +82,7 @@
         homeZone: undefined,
         inputBytes: 0,
         inputsExpireAt: Infinity,
+        isEntry: false,
         followers: [],
         resultBytes: 1_000,
         endAt: clock.now() + 10_000,
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -13,6 +13,7 @@
 import { chooseBatch, estimateCallMs, type BatchPart } from './chooseBatch.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
 import type { RankWait } from './RankWait.js';
+import { refuseLate } from './refuseLate.js';
 import type { PieceGroup, WaitingGroup } from './WaitingGroup.js';
 
 /** Calls that one piece may be in before its request fails; a piece may be made again. */
@@ -123,9 +124,19 @@
     look();
   }
 
-  /** Ends groups that nobody waits for any more, or that can't be done in time. */
+  function findRefusal(group: PieceGroup, waits: readonly RankWait[]): Failure | undefined {
+    if (capacity === undefined) return undefined;
+    const soloMs = estimateCallMs(capacity, Math.min(group.pieceCount, capacity.batch), 1);
+    const { estimateWaitMs } = options;
+    return refuseLate(group, { now: clock.now(), soloMs, waits, estimateWaitMs });
+  }
+
+  /** Ends groups whose time is over, and refuses those that nothing was done for and that are late. */
   function dropExpired(): void {
+    const waits = listWaits();
     for (const entry of queue) {
+      const refusal = entry.calls.length === 0 ? findRefusal(entry.group, waits) : undefined;
+      if (refusal !== undefined) end(entry, err(refusal));
       if (entry.pieces.length === 0 || entry.group.endAt > clock.now()) continue;
       end(
         entry,
@@ -150,6 +161,24 @@
         ),
     );
 
+  function listWaits(): RankWait[] {
+    if (capacity === undefined) return [];
+    const usable = replicas
+      .list()
+      .filter((state) => !state.isResting() && !state.server().isLeaving).length;
+    const callMs = estimateCallMs(capacity, capacity.batch, 1);
+    const pieceMs = callMs / capacity.batch / Math.max(1, usable);
+    const pieces = new Map<number, number>();
+    for (const { group, pieces: waiting } of queue) {
+      if (waiting.length === 0) continue;
+      pieces.set(group.rank, (pieces.get(group.rank) ?? 0) + waiting.length);
+    }
+    let waitMs = 0;
+    return [...pieces]
+      .sort(([first], [second]) => first - second)
+      .map(([rank, count]) => ({ rank, waitMs: (waitMs += count * pieceMs) }));
+  }
+
   function look(): void {
     if (capacity === undefined) return;
     dropExpired();
@@ -320,6 +349,11 @@
           resolve(err(createRefusal('cancelled', 'the request was given up')));
           return;
         }
+        const refusal = findRefusal(group, listWaits());
+        if (refusal !== undefined) {
+          resolve(err(refusal));
+          return;
+        }
         const entry: QueuedGroup = {
           group,
           arrivedAt: clock.now(),
@@ -346,23 +380,7 @@
       replicas.update(servers);
       look();
     },
-    listWaits() {
-      if (capacity === undefined) return [];
-      const usable = replicas
-        .list()
-        .filter((state) => !state.isResting() && !state.server().isLeaving).length;
-      const callMs = estimateCallMs(capacity, capacity.batch, 1);
-      const pieceMs = callMs / capacity.batch / Math.max(1, usable);
-      const pieces = new Map<number, number>();
-      for (const { group, pieces: waiting } of queue) {
-        if (waiting.length === 0) continue;
-        pieces.set(group.rank, (pieces.get(group.rank) ?? 0) + waiting.length);
-      }
-      let waitMs = 0;
-      return [...pieces]
-        .sort(([first], [second]) => first - second)
-        .map(([rank, count]) => ({ rank, waitMs: (waitMs += count * pieceMs) }));
-    },
+    listWaits,
     countWaiting,
   };
 }
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -110,6 +110,7 @@
         homeZone: findHomeZone(inputs, run.findZone),
         inputBytes: pieceCount * inputs.reduce((sum, { bytes }) => sum + bytes, 0),
         inputsExpireAt,
+        isEntry: isFirst && (isRead(index) || index === chainEnd),
         followers: listFollowers(route, pieceCounts, index),
         resultBytes: stage.resultBytes,
         endAt: run.endAt,
--- /dev/null
+++ b/packages/routing/src/lib/createServerConnections.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+
+import { createServerConnections } from './createServerConnections.js';
+
+/** Sends the beginning of an answer that has no length, and then does something to the connection. */
+async function sendUnframed(finish: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it', () => {
+        // The reader has to have read what was written before it meets the end.
+        setTimeout(() => finish(socket), 30);
+      });
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const connections = createServerConnections(`127.0.0.1:${port}`);
+  const result = await connections.send({ method: 'GET', path: '/' });
+  await connections.close();
+  await new Promise((resolve) => server.close(resolve));
+  return result;
+}
+
+test('an answer without a length that is reset was taken for whole', async () => {
+  const result = await sendUnframed((socket) => socket.resetAndDestroy());
+  assert.equal(result.kind, 'unknown');
+});
+
+test('an answer without a length ends with its connection', async () => {
+  const result = await sendUnframed((socket) => socket.end());
+  assert.ok(result.kind === 'answered');
+  assert.equal(result.body.toString(), 'half of it');
+});
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,4 +1,6 @@
-import { Pool, type Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
+
+import { buildConnector, Pool, type Dispatcher } from 'undici';
 
 import { sendCall, type Call, type CallResult } from './sendCall.js';
 
@@ -23,11 +25,41 @@
   close(): Promise<void>;
 }
 
-function createDispatcher(address: string, connections: number | null): Pool {
+/** Tells whether an error of any of some sockets is being handled at this very moment. */
+function createSocketWatch() {
+  let isFailing = false;
+  return {
+    isFailing: () => isFailing,
+    /** Watches a socket; its first listener runs before those of the client library. */
+    watch: (socket: Socket): void => {
+      socket.on('error', () => {
+        isFailing = true;
+        queueMicrotask(() => {
+          isFailing = false;
+        });
+      });
+    },
+  };
+}
+
+type SocketWatch = ReturnType<typeof createSocketWatch>;
+
+/** Opens connections whose errors are watched from the first moment on. */
+function createConnector({ watch }: SocketWatch): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      if (result[0] === null) watch(result[1]);
+      callback(...result);
+    });
+  };
+}
+
+function createDispatcher(address: string, connections: number | null, watch: SocketWatch): Pool {
   return new Pool(`http://${address}`, {
     connections,
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector(watch),
     keepAliveTimeout: IDLE_TIMEOUT_MS,
     // The deadline of each call ends it; a second clock here would only disagree.
     headersTimeout: 0,
@@ -68,12 +100,13 @@
   options: ConnectionOptions = {},
 ): ServerConnections {
   const { maxConnections = null, probePath = LOAD_PATH } = options;
-  let shared = createDispatcher(address, maxConnections);
+  const watch = createSocketWatch();
+  let shared = createDispatcher(address, maxConnections, watch);
 
   async function sendOnOwnConnection(call: Call): Promise<CallResult> {
-    const own = createDispatcher(address, 1);
+    const own = createDispatcher(address, 1, watch);
     try {
-      return await sendCall(own, call);
+      return await sendCall(own, call, watch.isFailing);
     } finally {
       void closeQuietly(own);
     }
@@ -81,7 +114,9 @@
 
   return {
     send: (call) =>
-      call.usesOwnConnection === true ? sendOnOwnConnection(call) : sendCall(shared, call),
+      call.usesOwnConnection === true
+        ? sendOnOwnConnection(call)
+        : sendCall(shared, call, watch.isFailing),
     async probe() {
       const result = await sendOnOwnConnection({
         method: 'GET',
@@ -92,7 +127,7 @@
     },
     renew() {
       const old = shared;
-      shared = createDispatcher(address, maxConnections);
+      shared = createDispatcher(address, maxConnections, watch);
       void closeQuietly(old);
     },
     close: () => closeQuietly(shared),
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -80,7 +80,7 @@
   }
 }
 
-function createHandler(call: Call, finish: (result: CallResult) => void) {
+function createHandler(call: Call, isFailing: () => boolean, finish: (result: CallResult) => void) {
   const chunks: Buffer[] = [];
   let wasSent = false;
   let status = 0;
@@ -140,6 +140,11 @@
       }
     },
     onResponseEnd() {
+      if (isFailing()) {
+        const detail = 'the connection was reset before the end of the answer';
+        end({ kind: 'unknown', reason: 'connection-lost', detail });
+        return;
+      }
       end({ kind: 'answered', status, headers, body: Buffer.concat(chunks) });
     },
     onResponseError(_controller, error) {
@@ -162,10 +167,16 @@
  *
  * @param dispatcher - the connections to the backend server
  * @param call - the call
+ * @param isFailing - whether an error of a connection is being handled: an answer without a length
+ *   that ends then is not whole, though the client library takes it for that
  * @returns how it ended
  * @public
  */
-export function sendCall(dispatcher: Dispatcher, call: Call): Promise<CallResult> {
+export function sendCall(
+  dispatcher: Dispatcher,
+  call: Call,
+  isFailing: () => boolean = () => false,
+): Promise<CallResult> {
   return new Promise((resolve) => {
     if (call.signal?.aborted === true) {
       resolve({ kind: 'not-sent', reason: 'cancelled', detail: 'aborted before it was sent' });
@@ -181,7 +192,7 @@
           idempotent: false,
           reset: call.usesOwnConnection === true,
         },
-        createHandler(call, resolve),
+        createHandler(call, isFailing, resolve),
       );
     } catch (error) {
       // Dispatching to a closed pool throws before anything is queued.
