Split what had grown long; the same decisions as before

Admission, the types of forwarding and of the dispatcher, the queue's entries, waits by rank and the model's replicas are files of their own.

--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -7,7 +7,6 @@
   pipelineIdSchema,
   poolIdSchema,
   requestIdSchema,
-  type FakeClock,
   type PoolId,
   type Random,
 } from '@endiveferry/base';
@@ -16,25 +15,26 @@
   findWaitMs,
   runStages,
   type ListedServer,
-  type PieceCall,
   type PieceDispatcher,
-  type PieceFailure,
-  type PieceOutcome,
-  type PiecesAnswer,
-  type RankWait,
   type RelayPool,
   type Route,
   type StageClient,
 } from '@endiveferry/relay';
 import { createLogger } from '@endiveferry/telemetry';
 
+import {
+  createReplica,
+  freeResult,
+  HOP_MS,
+  later,
+  RESULT_TTL_MS,
+  type PoolCounts,
+  type World,
+} from './createReplica.js';
 import type { RequestKind, StageLoad, StagePool } from './StageLoad.js';
 
-/** Time of one way between a host, a dispatcher and a replica, in milliseconds. */
-const HOP_MS = 2;
 /** Steps in which the replay's time moves, in milliseconds. */
 const STEP_MS = 1;
-const RESULT_TTL_MS = 4_000;
 /** How old waiting times grow before hosts tell new ones, in milliseconds. */
 const REPORT_INTERVAL_MS = 250;
 /** Spread of the speeds of replicas: each is up to this much slower. */
@@ -65,100 +65,11 @@
   readonly byPool: Readonly<Record<string, PoolCounts>>;
 }
 
-/** What the replicas of one pool did. */
-export interface PoolCounts {
-  calls: number;
-  results: number;
-  busyMs: number;
-  readonly failed: Partial<Record<PieceFailure, number>>;
-}
-
-interface World {
-  readonly clock: FakeClock;
-  readonly random: Random;
-  readonly load: StageLoad;
-  readonly results: Map<
-    string,
-    { readonly zone: string; readonly bytes: number; expiresAt: number }
-  >;
-  readonly roomUsed: Map<string, number>;
-  /** Waiting times as hosts tell them at intervals. */
-  readonly waits: Map<PoolId, readonly RankWait[]>;
-  readonly counts: { calls: number; pieces: number; remoteBytes: number };
-  readonly byPool: Record<string, PoolCounts>;
-}
-
-const later = (clock: FakeClock, delayMs: number) =>
-  new Promise<void>((resolve) => clock.schedule(delayMs, resolve));
-
 function drawCount(random: Random, mean: number): number {
   // Between none less than half the mean and twice the mean.
   return Math.max(1, Math.round(mean * (0.5 + random.nextFraction())));
 }
 
-function createReplica(world: World, pool: StagePool, server: ListedServer, slowness: number) {
-  const { clock, results, roomUsed, counts } = world;
-  let freeAt = 0;
-  const own = (world.byPool[pool.name] ??= { calls: 0, results: 0, busyMs: 0, failed: {} });
-  const fail = (reason: PieceFailure): PieceOutcome => {
-    own.failed[reason] = (own.failed[reason] ?? 0) + 1;
-    return { kind: 'failed', reason };
-  };
-  return async (pieces: readonly PieceCall[]): Promise<PiecesAnswer> => {
-    await later(clock, HOP_MS);
-    const startAt = Math.max(clock.now(), freeAt);
-    const workMs = pieces.reduce((sum, piece) => sum + pool.pieceMs * findFactor(world, piece), 0);
-    freeAt = startAt + (pool.callMs + workMs) * slowness;
-    await later(clock, startAt - clock.now());
-    counts.calls += 1;
-    own.calls += 1;
-    own.busyMs += freeAt - startAt;
-    const outcomes = pieces.map((piece): PieceOutcome => {
-      const inputs = piece.inputs ?? [];
-      if (inputs.some((handle) => (results.get(handle)?.expiresAt ?? 0) < clock.now())) {
-        return fail('input-gone');
-      }
-      for (const handle of inputs) {
-        const input = results.get(handle);
-        if (input !== undefined && input.zone !== server.availabilityZone) {
-          counts.remoteBytes += input.bytes;
-        }
-      }
-      const bytes = findBytes(world, piece);
-      const used = roomUsed.get(server.serverId) ?? 0;
-      if (used + bytes > pool.roomBytes) return fail('no-room');
-      roomUsed.set(server.serverId, used + bytes);
-      const handle = `${server.serverId}/${piece.requestId}/${piece.stageIndex}/${piece.pieceIndex}`;
-      results.set(handle, {
-        zone: server.availabilityZone,
-        bytes,
-        expiresAt: freeAt + RESULT_TTL_MS,
-      });
-      counts.pieces += 1;
-      own.results += 1;
-      return { kind: 'made', handle };
-    });
-    await later(clock, freeAt - clock.now() + HOP_MS);
-    return { kind: 'answered', outcomes };
-  };
-}
-
-function findStage({ load }: World, { requestId, stageIndex }: PieceCall) {
-  const kind = load.kinds.find(({ name }) => requestId.startsWith(`${name}-`));
-  return kind?.stages[stageIndex];
-}
-
-const findFactor = (world: World, piece: PieceCall) => findStage(world, piece)?.workFactor ?? 1;
-const findBytes = (world: World, piece: PieceCall) => findStage(world, piece)?.resultBytes ?? 0;
-
-function freeResult({ results, roomUsed }: World, handle: string): void {
-  const result = results.get(handle);
-  if (result === undefined) return;
-  const [serverId = ''] = handle.split('/');
-  roomUsed.set(serverId, (roomUsed.get(serverId) ?? 0) - result.bytes);
-  results.delete(handle);
-}
-
 function buildPool(
   pool: StagePool,
 ): RelayPool & { readonly stage: NonNullable<RelayPool['stage']> } {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -10,11 +10,8 @@
 export { createServerList, type ServerList } from './lib/createServerList.js';
 export { createStageClient, type StageClient } from './lib/createStageClient.js';
 export { createTrustClock, type Moment, type TrustClock } from './lib/createTrustClock.js';
-export {
-  createPieceDispatcher,
-  type PieceDispatcher,
-  type PiecesAnswer,
-} from './lib/pieces/createPieceDispatcher.js';
+export { createPieceDispatcher } from './lib/pieces/createPieceDispatcher.js';
+export type { PieceDispatcher, PiecesAnswer } from './lib/pieces/PieceDispatcher.js';
 export { findWaitMs, type RankWait } from './lib/pieces/RankWait.js';
 export type {
   AnswerFacts,
--- /dev/null
+++ b/packages/relay/src/lib/admitCall.ts
@@ -0,0 +1,109 @@
+import {
+  createRefusal,
+  type Clock,
+  type Failure,
+  type FailureReason,
+  type PoolId,
+  type Random,
+} from '@endiveferry/base';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { Beliefs, ConfigurationInForce } from './createBeliefs.js';
+import { choosePool } from './createRouteTable.js';
+import type { CallFacts, RawCall } from './ports.js';
+import type { RelayWorkspace, Route } from './RelayConfiguration.js';
+
+/**
+ * A host whose configuration was not confirmed for so long, in milliseconds, doesn't say that a
+ * route or a key is unknown: a newer version may hold it.
+ */
+const DENIAL_VALID_MS = 2_500;
+/** A request that may be served. @public */
+export interface Admitted {
+  readonly call: RawCall;
+  readonly facts: CallFacts;
+  readonly inForce: ConfigurationInForce;
+  readonly route: Route;
+  readonly workspace: RelayWorkspace | undefined;
+  readonly poolId: PoolId;
+  readonly rank: number;
+  readonly arrivedAt: number;
+  readonly endAt: number;
+  readonly streamEndAt: number;
+}
+
+/** What admission needs of the rest. @internal */
+export interface AdmissionPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly beliefs: Beliefs;
+}
+
+const refuse = (reason: FailureReason, detail: string) => err(createRefusal(reason, detail));
+
+/** A denial of what a newer configuration may allow is put off until this host is sure. */
+function deny(beliefs: Beliefs, reason: 'not-found' | 'unauthenticated', detail: string) {
+  return beliefs.confirmedAgeMs() <= DENIAL_VALID_MS
+    ? refuse(reason, detail)
+    : refuse(
+        'draining',
+        'this host is out of touch and cannot tell whether the request is allowed',
+      );
+}
+
+function authenticate(
+  { route, inForce, facts }: Pick<Admitted, 'route' | 'inForce' | 'facts'>,
+  beliefs: Beliefs,
+): Result<RelayWorkspace | undefined, Failure> {
+  const needsKey = !route.isPublic && inForce.configuration.workspaces !== undefined;
+  if (!needsKey) return ok(undefined);
+  if (facts.apiKey === undefined) return refuse('unauthenticated', 'the request has no key');
+  const workspace = inForce.findWorkspace(facts.apiKey);
+  if (workspace === undefined) return deny(beliefs, 'unauthenticated', 'the key is unknown');
+  if (!beliefs.mayHonourKeys()) {
+    return refuse('draining', 'this host cannot tell whether the key is still valid');
+  }
+  return ok(workspace);
+}
+
+/**
+ * Decides whether a request may be served, by the configuration in force and by how long ago that
+ * was confirmed.
+ *
+ * @param call - the request
+ * @param facts - what it says of itself
+ * @param ports - see {@link AdmissionPorts}
+ * @returns the request with its route, workspace and times, or why it is refused
+ * @internal
+ */
+export function admitCall(
+  call: RawCall,
+  facts: CallFacts,
+  { clock, random, beliefs }: AdmissionPorts,
+): Result<Admitted, Failure> {
+  const arrivedAt = clock.now();
+  const inForce = beliefs.current();
+  if (inForce === undefined) return refuse('draining', 'this host knows no configuration yet');
+  if (call.body.length > inForce.configuration.limits.maxBodyBytes) {
+    return refuse('body-too-large', 'the body is longer than allowed');
+  }
+  const route = inForce.routes.findRoute(facts.host, call.target);
+  if (route === undefined) return deny(beliefs, 'not-found', 'no route matches');
+  const workspace = authenticate({ route, inForce, facts }, beliefs);
+  if (workspace.isErr()) return err(workspace.error);
+  const poolId = choosePool(route, random);
+  if (poolId === undefined) return refuse('no-backend-server', 'the route has no pool');
+  const patienceMs = facts.remainingMs ?? route.timeoutMs;
+  return ok({
+    call,
+    facts,
+    inForce,
+    route,
+    workspace: workspace.value,
+    poolId,
+    rank: workspace.value?.rank ?? route.rank,
+    arrivedAt,
+    endAt: arrivedAt + Math.min(patienceMs, route.timeoutMs),
+    streamEndAt: arrivedAt + patienceMs,
+  });
+}
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -12,24 +12,19 @@
 import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
+import { admitCall, type Admitted } from './admitCall.js';
 import { chooseEngine, choosePlainServer, type InputBytes } from './chooseBackend.js';
 import type { Backends } from './createBackends.js';
-import type { Beliefs, ConfigurationInForce } from './createBeliefs.js';
+import type { Beliefs } from './createBeliefs.js';
 import { createPromptCache } from './createPromptCache.js';
-import { choosePool } from './createRouteTable.js';
 import type { StageClient } from './createStageClient.js';
-import { forwardCall, type ForwardOutcome, type ForwardRequest } from './forwardCall.js';
+import { forwardCall } from './forwardCall.js';
+import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
 import type { CallFacts, HostPlace, RawCall, WireProtocol } from './ports.js';
-import type { RelayWorkspace, Route } from './RelayConfiguration.js';
 import type { Responder } from './Responder.js';
 import { runStages, type StagesOutput } from './runStages.js';
 import { spreadRetry } from './spreadRetry.js';
 
-/**
- * A host whose configuration was not confirmed for so long, in milliseconds, doesn't say that a
- * route or a key is unknown: a newer version may hold it.
- */
-const DENIAL_VALID_MS = 2_500;
 /** Time to the first event that is assumed before any was measured, in milliseconds. */
 const FIRST_EVENT_MS = 200;
 /** Weight of the newest stream in the expected time to the first event. */
@@ -69,20 +64,6 @@
   readonly onMisdirected: (serverId: BackendServerId) => void;
 }
 
-/** A request that may be served. */
-interface Admitted {
-  readonly call: RawCall;
-  readonly facts: CallFacts;
-  readonly inForce: ConfigurationInForce;
-  readonly route: Route;
-  readonly workspace: RelayWorkspace | undefined;
-  readonly poolId: PoolId;
-  readonly rank: number;
-  readonly arrivedAt: number;
-  readonly endAt: number;
-  readonly streamEndAt: number;
-}
-
 /**
  * Creates the service.
  *
@@ -108,62 +89,6 @@
     return budget;
   }
 
-  const refuse = (reason: Failure['reason'], detail: string) => err(createRefusal(reason, detail));
-
-  /** A denial of what a newer configuration may allow is put off until this host is sure. */
-  function deny(reason: 'not-found' | 'unauthenticated', detail: string) {
-    return beliefs.confirmedAgeMs() <= DENIAL_VALID_MS
-      ? refuse(reason, detail)
-      : refuse(
-          'draining',
-          'this host is out of touch and cannot tell whether the request is allowed',
-        );
-  }
-
-  function authenticate({
-    route,
-    inForce,
-    facts,
-  }: Pick<Admitted, 'route' | 'inForce' | 'facts'>): Result<RelayWorkspace | undefined, Failure> {
-    const needsKey = !route.isPublic && inForce.configuration.workspaces !== undefined;
-    if (!needsKey) return ok(undefined);
-    if (facts.apiKey === undefined) return refuse('unauthenticated', 'the request has no key');
-    const workspace = inForce.findWorkspace(facts.apiKey);
-    if (workspace === undefined) return deny('unauthenticated', 'the key is unknown');
-    if (!beliefs.mayHonourKeys()) {
-      return refuse('draining', 'this host cannot tell whether the key is still valid');
-    }
-    return ok(workspace);
-  }
-
-  function admit(call: RawCall, facts: CallFacts): Result<Admitted, Failure> {
-    const arrivedAt = clock.now();
-    const inForce = beliefs.current();
-    if (inForce === undefined) return refuse('draining', 'this host knows no configuration yet');
-    if (call.body.length > inForce.configuration.limits.maxBodyBytes) {
-      return refuse('body-too-large', 'the body is longer than allowed');
-    }
-    const route = inForce.routes.findRoute(facts.host, call.target);
-    if (route === undefined) return deny('not-found', 'no route matches');
-    const workspace = authenticate({ route, inForce, facts });
-    if (workspace.isErr()) return err(workspace.error);
-    const poolId = choosePool(route, random);
-    if (poolId === undefined) return refuse('no-backend-server', 'the route has no pool');
-    const patienceMs = facts.remainingMs ?? route.timeoutMs;
-    return ok({
-      call,
-      facts,
-      inForce,
-      route,
-      workspace: workspace.value,
-      poolId,
-      rank: workspace.value?.rank ?? route.rank,
-      arrivedAt,
-      endAt: arrivedAt + Math.min(patienceMs, route.timeoutMs),
-      streamEndAt: arrivedAt + patienceMs,
-    });
-  }
-
   /** Refuses at once what cannot get its first event in time. */
   function checkDoor(admitted: Admitted): Failure | undefined {
     const { route, facts, endAt } = admitted;
@@ -334,7 +259,7 @@
 
   async function serveCall(call: RawCall, responder: Responder, signal: AbortSignal) {
     const facts = protocol.parseCall(call);
-    const admitted = facts.andThen((parsed) => admit(call, parsed));
+    const admitted = facts.andThen((parsed) => admitCall(call, parsed, { clock, random, beliefs }));
     if (admitted.isErr()) {
       const failure = admitted.error;
       sendFailure(failure, facts.unwrapOr(undefined), responder);
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -18,7 +18,7 @@
   type RunPieces,
   type RunPiecesReply,
 } from './messages.js';
-import type { PieceDispatcher, PieceResult } from './pieces/createPieceDispatcher.js';
+import type { PieceDispatcher, PieceResult } from './pieces/PieceDispatcher.js';
 import type { PieceGroup } from './pieces/WaitingGroup.js';
 
 /** Time beyond a request's own after which a dispatcher's answer is not waited for, in milliseconds. */
--- a/packages/relay/src/lib/forwardCall.ts
+++ b/packages/relay/src/lib/forwardCall.ts
@@ -4,24 +4,21 @@
   NO_LONGER_NEEDED,
   waitFor,
   type BackendServerId,
-  type Clock,
   type Execution,
   type Failure,
-  type PoolId,
-  type Random,
-  type WorkspaceId,
 } from '@endiveferry/base';
-import type { RetryBudget } from '@endiveferry/admission';
 import type { AnswerStart } from '@endiveferry/routing';
-import type { Logger } from '@endiveferry/telemetry';
 
-import type { InputBytes } from './chooseBackend.js';
 import type { Backend, RunningCall } from './createBackends.js';
+import type {
+  ChosenBackend,
+  ForwardOutcome,
+  ForwardPorts,
+  ForwardRequest,
+} from './ForwardRequest.js';
 import { createStreamRelay, type StreamRelay } from './createStreamRelay.js';
-import type { CallFacts, RawCall, WireProtocol } from './ports.js';
 import { findExecution, readAttempt, type AttemptEnd } from './readAttempt.js';
-import { isRepeatable, type Route } from './RelayConfiguration.js';
-import type { Responder } from './Responder.js';
+import { isRepeatable } from './RelayConfiguration.js';
 import { spreadRetry } from './spreadRetry.js';
 
 /** Servers that are looked for in vain, because they can't be connected to, before giving up. */
@@ -35,58 +32,6 @@
 /** A resumable stream that pauses for so long, in milliseconds, goes on elsewhere. */
 const EVENT_PATIENCE_MS = 1_500;
 
-/** A request that is ready to be sent to a backend server. @public */
-export interface ForwardRequest {
-  readonly call: RawCall;
-  readonly facts: CallFacts;
-  readonly route: Route;
-  readonly poolId: PoolId;
-  readonly workspaceId: WorkspaceId | undefined;
-  readonly rank: number;
-  readonly inputs: readonly string[] | undefined;
-  /** Where the inputs lie. */
-  readonly inputBytes: readonly InputBytes[];
-  /** Monotonic time at which an answer must have begun, in milliseconds. */
-  readonly endAt: number;
-  /** Monotonic time at which a stream that has begun must be over, in milliseconds. */
-  readonly streamEndAt: number;
-  /** Aborts when the caller leaves. */
-  readonly signal: AbortSignal;
-  readonly responder: Responder;
-  /** Called when a backend server has read all inputs. */
-  readonly onInputsRead: () => void;
-}
-
-/** What forwarding needs of the rest. @public */
-export interface ForwardPorts {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly protocol: WireProtocol;
-  readonly choose: (
-    request: ForwardRequest,
-    tried: ReadonlySet<BackendServerId>,
-  ) => ChosenBackend | undefined;
-  readonly budget: RetryBudget;
-  readonly random: Random;
-  readonly onMisdirected: (serverId: BackendServerId) => void;
-}
-
-/** A backend server with the prompt tokens that it has to read for the request. @public */
-export interface ChosenBackend {
-  readonly backend: Backend;
-  readonly promptTokens: number;
-}
-
-/** How a request was answered. @public */
-export interface ForwardOutcome {
-  /** Undefined when the caller got a backend server's answer. */
-  readonly failure: Failure | undefined;
-  readonly status: number | undefined;
-  readonly servers: readonly BackendServerId[];
-  /** Monotonic time of the first event passed on, in milliseconds; undefined without one. */
-  readonly firstEventAt: number | undefined;
-}
-
 interface ForwardState {
   readonly request: ForwardRequest;
   readonly ports: ForwardPorts;
--- a/packages/relay/src/lib/pieces/RankWait.ts
+++ b/packages/relay/src/lib/pieces/RankWait.ts
@@ -1,5 +1,9 @@
 import { z } from 'zod';
 
+import type { StageCapacity } from '../RelayConfiguration.js';
+import { estimateCallMs } from './chooseBatch.js';
+import type { WaitingGroup } from './WaitingGroup.js';
+
 /** Validator of {@link RankWait}. @internal */
 export const rankWaitSchema = z.object({
   rank: z.int(),
@@ -21,3 +25,33 @@
 export function findWaitMs(waits: readonly RankWait[], rank: number): number {
   return waits.findLast((wait) => wait.rank <= rank)?.waitMs ?? 0;
 }
+
+/**
+ * Computes how long groups that came now would wait, if calls were full.
+ *
+ * @param waiting - the groups that wait
+ * @param capacity - the pool's figures
+ * @param replicaCount - replicas in use
+ * @returns the waiting times by rank, most urgent first
+ * @internal
+ */
+export function computeWaits(
+  waiting: readonly WaitingGroup[],
+  capacity: StageCapacity,
+  replicaCount: number,
+): RankWait[] {
+  const callMs = estimateCallMs(capacity, capacity.batch, 1);
+  const pieceMs = callMs / capacity.batch / Math.max(1, replicaCount);
+  const counts = new Map<number, number>();
+  for (const { group, pieces } of waiting) {
+    if (pieces.length === 0) continue;
+    counts.set(group.rank, (counts.get(group.rank) ?? 0) + pieces.length);
+  }
+  let waitMs = 0;
+  return [...counts]
+    .sort(([first], [second]) => first - second)
+    .map(([rank, count]) => {
+      waitMs += count * pieceMs;
+      return { rank, waitMs };
+    });
+}
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -51,8 +51,6 @@
   readonly replica: FreeReplica;
   /** Replicas in use, this one included. */
   readonly replicaCount: number;
-  /** Replicas without a call, this one included. */
-  readonly idleCount: number;
   readonly now: number;
   /** Availability zones with replicas in use. */
   readonly zones: ReadonlySet<AvailabilityZoneId>;
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -14,7 +14,8 @@
 
 import type { PieceCall } from '../ports.js';
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
-import { createPieceDispatcher, type PiecesAnswer } from './createPieceDispatcher.js';
+import { createPieceDispatcher } from './createPieceDispatcher.js';
+import type { PiecesAnswer } from './PieceDispatcher.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
 setLogWriter(() => undefined);
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -1,20 +1,20 @@
-import {
-  createRefusal,
-  type BackendServerId,
-  type Clock,
-  type Failure,
-  type PoolId,
-} from '@endiveferry/base';
-import type { Logger } from '@endiveferry/telemetry';
+import { createRefusal, type BackendServerId, type Failure } from '@endiveferry/base';
 import { err, ok, type Result } from 'neverthrow';
 
-import type { PieceCall, PieceFailure, PieceOutcome } from '../ports.js';
-import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
+import type { PieceFailure } from '../ports.js';
+import type { StageCapacity } from '../RelayConfiguration.js';
 import { chooseBatch, estimateCallMs, type BatchPart } from './chooseBatch.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
-import type { RankWait } from './RankWait.js';
+import type {
+  PieceDispatcher,
+  PieceDispatcherOptions,
+  PieceResult,
+  PiecesAnswer,
+} from './PieceDispatcher.js';
+import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
+import { computeWaits, type RankWait } from './RankWait.js';
 import { refuseLate } from './refuseLate.js';
-import type { PieceGroup, WaitingGroup } from './WaitingGroup.js';
+import type { PieceGroup } from './WaitingGroup.js';
 
 /** Calls that one piece may be in before its request fails; a piece may be made again. */
 const MAX_PIECE_CALLS = 3;
@@ -25,68 +25,6 @@
 /** Time to look again when replicas rest or have no room, in milliseconds. */
 const LOOK_AGAIN_MS = 30;
 
-/** One result of a stage. @public */
-export interface PieceResult {
-  readonly serverId: BackendServerId;
-  readonly handle: string;
-}
-
-/** How a call of several pieces ended. @public */
-export type PiecesAnswer =
-  | { readonly kind: 'answered'; readonly outcomes: readonly PieceOutcome[] }
-  | { readonly kind: 'full' }
-  | { readonly kind: 'gone' }
-  | { readonly kind: 'failed'; readonly detail: string };
-
-/**
- * Gathers the pieces of a pool from all hosts into calls.
- *
- * @public
- */
-export interface PieceDispatcher {
-  /** Makes the results of a group, in the order of its pieces. */
-  run(group: PieceGroup, signal: AbortSignal): Promise<Result<readonly PieceResult[], Failure>>;
-  /** Gives up results that nobody needs any more. */
-  free(results: readonly PieceResult[]): void;
-  update(capacity: StageCapacity, servers: readonly ListedServer[]): void;
-  /** How long groups that came now would wait, by rank, most urgent first. */
-  readonly listWaits: () => readonly RankWait[];
-  /** Pieces that wait. */
-  readonly countWaiting: () => number;
-}
-
-/**
- * Options of a dispatcher.
- *
- * @public
- */
-export interface PieceDispatcherOptions {
-  readonly poolId: PoolId;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly sendPieces: (
-    server: ListedServer,
-    pieces: readonly PieceCall[],
-    timeoutMs: number,
-  ) => Promise<PiecesAnswer>;
-  readonly sendFree: (server: ListedServer, handles: readonly string[]) => void;
-  /** Tells of a server that another one took the address of. */
-  readonly onGone: (serverId: BackendServerId) => void;
-  /** Time that work waits at another pool, in milliseconds, as far as this host knows. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
-  /** Asked before pieces are sent once more. */
-  readonly mayRepeat: () => boolean;
-}
-
-interface QueuedGroup extends WaitingGroup {
-  pieces: number[];
-  readonly calls: number[];
-  readonly results: (PieceResult | undefined)[];
-  missing: number;
-  isEnded: boolean;
-  readonly settle: (result: Result<readonly PieceResult[], Failure>) => void;
-}
-
 /**
  * Creates the dispatcher of one pool.
  *
@@ -147,36 +85,14 @@
 
   function findIdle(slots: number): ReplicaState[] {
     return replicas
-      .list()
-      .filter((state) => !state.server().isLeaving && !state.isResting() && state.running() < slots)
+      .listUsable()
+      .filter((state) => state.running() < slots)
       .sort((a, b) => a.slowness() - b.slowness());
   }
 
-  const listZones = () =>
-    new Set(
-      replicas
-        .list()
-        .flatMap((state) =>
-          state.server().isLeaving || state.isResting() ? [] : [state.server().availabilityZone],
-        ),
-    );
-
   function listWaits(): RankWait[] {
     if (capacity === undefined) return [];
-    const usable = replicas
-      .list()
-      .filter((state) => !state.isResting() && !state.server().isLeaving).length;
-    const callMs = estimateCallMs(capacity, capacity.batch, 1);
-    const pieceMs = callMs / capacity.batch / Math.max(1, usable);
-    const pieces = new Map<number, number>();
-    for (const { group, pieces: waiting } of queue) {
-      if (waiting.length === 0) continue;
-      pieces.set(group.rank, (pieces.get(group.rank) ?? 0) + waiting.length);
-    }
-    let waitMs = 0;
-    return [...pieces]
-      .sort(([first], [second]) => first - second)
-      .map(([rank, count]) => ({ rank, waitMs: (waitMs += count * pieceMs) }));
+    return computeWaits([...queue], capacity, replicas.listUsable().length);
   }
 
   function look(): void {
@@ -194,9 +110,8 @@
           freeBytes: replica.freeBytes(capacity),
         },
         replicaCount: replicas.list().length,
-        idleCount: findIdle(capacity.slots).length,
         now: clock.now(),
-        zones: listZones(),
+        zones: new Set(replicas.listUsable().map((state) => state.server().availabilityZone)),
         estimateWaitMs: options.estimateWaitMs,
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
@@ -354,19 +269,10 @@
           resolve(err(refusal));
           return;
         }
-        const entry: QueuedGroup = {
-          group,
-          arrivedAt: clock.now(),
-          pieces: Array.from({ length: group.pieceCount }, (_, index) => index),
-          calls: [],
-          results: Array.from({ length: group.pieceCount }, () => undefined),
-          missing: group.pieceCount,
-          isEnded: false,
-          settle: (result) => {
-            signal.removeEventListener('abort', cancel);
-            resolve(result);
-          },
-        };
+        const entry = createQueuedGroup(group, clock.now(), (result) => {
+          signal.removeEventListener('abort', cancel);
+          resolve(result);
+        });
         const cancel = () =>
           end(entry, err(createRefusal('cancelled', 'the request was given up')));
         signal.addEventListener('abort', cancel, { once: true });
--- a/packages/relay/src/lib/pieces/createReplicaStates.ts
+++ b/packages/relay/src/lib/pieces/createReplicaStates.ts
@@ -92,6 +92,8 @@
   /** Takes over the list; what is known of servers that stay is kept. */
   update(servers: readonly ListedServer[]): void;
   readonly list: () => readonly ReplicaState[];
+  /** Replicas that neither leave nor rest. */
+  readonly listUsable: () => readonly ReplicaState[];
   find(serverId: BackendServerId): ReplicaState | undefined;
 }
 
@@ -117,6 +119,8 @@
       }
     },
     list: () => [...states.values()],
+    listUsable: () =>
+      [...states.values()].filter((state) => !state.server().isLeaving && !state.isResting()),
     find: (serverId) => states.get(serverId),
   };
 }
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -11,7 +11,7 @@
 
 import type { StageClient } from './createStageClient.js';
 import { estimateTails } from './estimateStages.js';
-import type { PieceResult } from './pieces/createPieceDispatcher.js';
+import type { PieceResult } from './pieces/PieceDispatcher.js';
 import type { RelayPool, Route } from './RelayConfiguration.js';
 
 /** A request whose stages are to run. @public */
