--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -94,6 +94,7 @@
       logger.error('a task failed and is started again', { path, error: describeError(error) }),
   });
   let isStopping = false;
+  let isRefusing = false;
 
   const countHosts = () => fleet.countHosts();
   const backends = createBackends({ clock, random, logger, countHosts });
@@ -134,6 +135,7 @@
     countHosts,
     countOtherTokens,
     estimateWaitMs,
+    isRefusing: () => isRefusing,
     onMisdirected: onGone,
   });
   const listener = createRelayListener({
@@ -237,6 +239,8 @@
     for (;;) {
       await waitFor(clock, STOP_POLL_MS);
       const hasMoved = clock.now() - since >= BALANCER_MOVES_MS;
+      // What still comes on kept connections might be cut off at the end; elsewhere it is not.
+      isRefusing = hasMoved;
       const isIdle = service.countActive() === 0 && dispatchers.countWaiting() === 0;
       if ((hasMoved && isIdle) || clock.now() >= endAt) return;
     }
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -60,6 +60,8 @@
   readonly countOtherTokens: (serverId: BackendServerId) => number;
   /** Time until a stage of a pool would start, in milliseconds. */
   readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  /** Whether this host stops so soon that new requests might not be finished. */
+  readonly isRefusing: () => boolean;
   /** Tells of a server that another one took the address of. */
   readonly onMisdirected: (serverId: BackendServerId) => void;
 }
@@ -259,7 +261,11 @@
 
   async function serveCall(call: RawCall, responder: Responder, signal: AbortSignal) {
     const facts = protocol.parseCall(call);
-    const admitted = facts.andThen((parsed) => admitCall(call, parsed, { clock, random, beliefs }));
+    const admitted = facts.andThen((parsed) =>
+      options.isRefusing()
+        ? err(createRefusal('draining', 'this host is stopping'))
+        : admitCall(call, parsed, { clock, random, beliefs }),
+    );
     if (admitted.isErr()) {
       const failure = admitted.error;
       sendFailure(failure, facts.unwrapOr(undefined), responder);
