Call the shared rendezvous order for a part's home; remove what nothing reads

chooseBackend wrote the rendezvous order again, with the same hash: it calls computeRendezvousOrder now. AnswerFacts.closesConnection and PromptCache.forgetServer were read by nobody. A host's time heard by itself is never later than its time heard at all, so the larger of both is the latter.

--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -1,4 +1,8 @@
-import { computeHash, type AvailabilityZoneId, type BackendServerId } from '@endiveferry/base';
+import {
+  computeRendezvousOrder,
+  type AvailabilityZoneId,
+  type BackendServerId,
+} from '@endiveferry/base';
 
 import type { Backend } from './createBackends.js';
 import type { PromptCache } from './createPromptCache.js';
@@ -140,11 +144,9 @@
 
 /** All hosts find the same home, so that requests with a common part meet there. */
 function findHome(partId: string, candidates: readonly Backend[]): BackendServerId | undefined {
-  let best: { readonly serverId: BackendServerId; readonly score: number } | undefined;
-  for (const { server, maxRunning } of candidates) {
-    if (server.isLeaving || maxRunning() === 0) continue;
-    const score = computeHash(`${partId}\u0000${server.serverId}`);
-    if (best === undefined || score > best.score) best = { serverId: server.serverId, score };
-  }
-  return best?.serverId;
+  const usable = candidates.filter(
+    ({ server, maxRunning }) => !server.isLeaving && maxRunning() > 0,
+  );
+  const ids = usable.map(({ server }) => server.serverId);
+  return computeRendezvousOrder(partId, ids)[0];
 }
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -246,8 +246,7 @@
   });
   updatePeers();
 
-  const isLive = ({ directAt, heardAt }: KnownHost) =>
-    clock.now() - Math.max(directAt, heardAt) < LIVE_MS;
+  const isLive = ({ heardAt }: KnownHost) => clock.now() - heardAt < LIVE_MS;
 
   return {
     hostId,
--- a/packages/relay/src/lib/createPromptCache.ts
+++ b/packages/relay/src/lib/createPromptCache.ts
@@ -14,7 +14,6 @@
   recordSent(serverId: BackendServerId, parts: readonly PromptPart[]): void;
   /** Tokens at the front of a prompt that an engine has read, as far as this host knows. */
   countCached(serverId: BackendServerId, parts: readonly PromptPart[]): number;
-  forgetServer(serverId: BackendServerId): void;
 }
 
 /**
@@ -48,6 +47,5 @@
       }
       return tokens;
     },
-    forgetServer: (serverId) => byServer.delete(serverId),
   };
 }
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -79,8 +79,6 @@
   /** The request that the answer names; undefined when it names none. */
   readonly requestId: string | undefined;
   readonly load: ReportedLoad | undefined;
-  /** The server closes this connection, because it leaves or for its own reasons. */
-  readonly closesConnection: boolean;
   readonly isEventStream: boolean;
 }
 
--- a/packages/relay/src/lib/readAttempt.test.ts
+++ b/packages/relay/src/lib/readAttempt.test.ts
@@ -12,7 +12,6 @@
   isSigned: true,
   requestId: 'r1',
   load: undefined,
-  closesConnection: false,
   isEventStream: false,
 };
 
