--- a/packages/relay/src/lib/estimateStages.ts
+++ b/packages/relay/src/lib/estimateStages.ts
@@ -5,8 +5,6 @@
 
 /** Time of a hop to a dispatcher and a replica and back, in milliseconds; zones lie a few apart. */
 const HOP_MS = 12;
-/** Part of a call's pieces that comes to be filled, mostly by other requests. */
-const CALL_FILL = 0.5;
 
 /**
  * Estimates how long after the end of each stage the request's first event comes.
@@ -32,8 +30,7 @@
     const count = pieceCounts[index] ?? 0;
     if (stage === undefined || capacity === undefined || count === 0) continue;
     const calls = Math.ceil(count / capacity.batch);
-    const pieces = Math.max(capacity.batch * CALL_FILL, Math.min(count, capacity.batch));
-    const ownMs = estimateCallMs(capacity, pieces, 1) * calls + HOP_MS;
+    const ownMs = estimateCallMs(capacity, Math.min(count, capacity.batch), 1) * calls + HOP_MS;
     const beforeMs = (tails[index] ?? firstEventMs) + ownMs;
     for (const earlier of stage.after) tails[earlier] = Math.max(tails[earlier] ?? 0, beforeMs);
   }
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -34,7 +34,7 @@
  */
 const MAX_FOLLOWING_WAIT_MS = 850;
 /** Part of the waiting time at a following stage that an urgent enough group has to expect. */
-const FOLLOWING_WAIT_SHARE = 1.5;
+const FOLLOWING_WAIT_SHARE = 2;
 
 /** A replica that could take a call now. @public */
 export interface FreeReplica {
