Hear silence, tell ages, and weigh hosts: one membership for 6 hosts and for 90

Cause: a host that lost power or was cut off kept its stages until their own deadlines, and counted as live for up to 3.4 s because others spoke of it. A connection with requests in progress now asks for a sign of life and is given up after 0.9 s; of linked hosts only what this host hears itself counts.

For fleets beyond full links, in the same heartbeats: hosts are told on with the age of what is known, 16 a heartbeat by turns; waiting times of dispatchers are told on with theirs, ride on replies, and dispatchers are linked with each other; a dispatcher's place follows the processor share and the link of hosts; a backend server's connections are shared by the fleet as it is now, not as it was when the server was found. Calls of pieces and refusals are logged with what decided them.

Ruled out: the hop to a dispatcher; its time was not changed.

Tests: 'a host that died got work for as long as others spoke of it', 'a host without power held requests until their own deadlines', and those beside them.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -6,7 +6,6 @@
   type PieceDispatcher,
   type PiecesAnswer,
   type ListedServer,
-  type RankWait,
   type RelayPool,
   type WireProtocol,
 } from '@endiveferry/relay';
@@ -19,8 +18,7 @@
 /** The dispatchers of all stage pools on this host. @internal */
 export interface Dispatchers {
   readonly find: (poolId: PoolId) => PieceDispatcher | undefined;
-  /** Waiting times at dispatchers that have work. */
-  readonly listWaits: () => { readonly poolId: PoolId; readonly byRank: RankWait[] }[];
+  readonly listPools: () => readonly PoolId[];
   readonly countWaiting: () => number;
   update(pools: ReadonlyMap<PoolId, RelayPool>, servers: readonly ListedServer[]): void;
 }
@@ -88,11 +86,7 @@
 
   return {
     find: (poolId) => dispatchers.get(poolId),
-    listWaits: () =>
-      [...dispatchers].flatMap(([poolId, dispatcher]) => {
-        const byRank = [...dispatcher.listWaits()];
-        return byRank.length > 0 ? [{ poolId, byRank }] : [];
-      }),
+    listPools: () => [...dispatchers.keys()],
     countWaiting: () =>
       [...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.countWaiting(), 0),
     update(pools, servers) {
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -1,7 +1,6 @@
 import { randomBytes } from 'node:crypto';
 
 import {
-  computeRendezvousOrder,
   createPauseWatch,
   createRandom,
   createSupervisor,
@@ -21,6 +20,7 @@
   createServerList,
   createStageClient,
   createTrustClock,
+  createWaitTable,
   findWaitMs,
   type Fleet,
   type HostPlace,
@@ -121,7 +121,14 @@
     estimateWaitMs: (poolId, rank) => estimateWaitMs(poolId, rank),
   });
   const findFleet = () => fleet;
-  const stages = createStageClient({ clock, logger, findFleet, findDispatcher: dispatchers.find });
+  const waits = createWaitTable(clock);
+  const stages = createStageClient({
+    clock,
+    logger,
+    findFleet,
+    findDispatcher: dispatchers.find,
+    noteWaits: waits.note,
+  });
   const service: RelayService = createRelayService({
     place,
     clock,
@@ -164,14 +171,21 @@
     );
   }
 
+  const listOwnWaits = (poolId: PoolId) => [...(dispatchers.find(poolId)?.listWaits() ?? [])];
+
   /** The waiting time that the pool's dispatcher, here or elsewhere, told last. */
   function estimateWaitMs(poolId: PoolId, rank: number): number {
-    if (computeRendezvousOrder(poolId, fleet.listLive())[0] === fleet.hostId) {
-      return findWaitMs(dispatchers.find(poolId)?.listWaits() ?? [], rank);
-    }
-    const waits = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.waits);
-    const own = waits.filter((wait) => wait.poolId === poolId);
-    return Math.max(0, ...own.map(({ byRank }) => findWaitMs(byRank, rank)));
+    return fleet.isDispatcher(poolId)
+      ? findWaitMs(listOwnWaits(poolId), rank)
+      : waits.find(poolId, rank);
+  }
+
+  /** The waiting times of dispatchers on this host, and what it was told of others. */
+  function listToldWaits() {
+    const own = dispatchers.listPools().filter(fleet.isDispatcher);
+    const told = waits.list().filter(({ poolId }) => !own.includes(poolId));
+    const ownWaits = own.map((poolId) => ({ poolId, ageMs: 0, byRank: listOwnWaits(poolId) }));
+    return [...ownWaits, ...told].map((entry) => ({ ...entry, byRank: [...entry.byRank] }));
   }
 
   const storeListener: StoreListener = {
@@ -208,7 +222,9 @@
     beliefs,
     servers,
     isStopping: () => isStopping,
-    buildLoad: () => ({ waits: dispatchers.listWaits(), pending: backends.listPending() }),
+    buildLoad: () => ({ waits: listToldWaits(), pending: backends.listPending() }),
+    listStagePools: dispatchers.listPools,
+    noteWaits: waits.note,
     handleRequest: stages.handleRequest,
   });
   const callers = await listener.listen(place.callersAddress);
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -21,7 +21,7 @@
   type Task,
 } from './lib/createSupervisor.js';
 export { describeError } from './lib/describeError.js';
-export { computeHash, computeRendezvousOrder } from './lib/hash.js';
+export { computeHash, computeRendezvousOrder, computeWeightedOrder } from './lib/hash.js';
 export {
   availabilityZoneIdSchema,
   backendServerIdSchema,
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -4,6 +4,7 @@
 import { Decoder, Encoder } from 'cbor-x';
 import { err, ok, type Result } from 'neverthrow';
 
+import { createSilenceWatch } from './createSilenceWatch.js';
 import { peerMessageSchema, type PeerMessage, type PeerRequestKind } from './messages.js';
 
 const LENGTH_BYTES = 4;
@@ -73,6 +74,8 @@
  * @param socket - the socket, plain or TLS
  * @param clock - times requests out
  * @param handleRequest - does what the other side asks
+ * @param silenceMs - a connection is given up when replies are due and nothing came for so long, in
+ *   milliseconds; undefined leaves that to the time limits of requests
  * @returns the connection
  * @public
  */
@@ -80,11 +83,25 @@
   socket: Socket,
   clock: Clock,
   handleRequest: HandlePeerRequest,
+  silenceMs?: number,
 ): PeerConnection {
   const encoder = new Encoder({ useRecords: false });
   const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
   const pending = new Map<number, PendingRequest>();
   let nextId = 1;
+  const silence =
+    silenceMs === undefined
+      ? undefined
+      : createSilenceWatch(clock, silenceMs, {
+          needsReplies: () => pending.size > 0,
+          ping: () => send({ type: 'request', id: takeId(), kind: 'ping', body: {} }),
+          giveUp: () => socket.destroy(new Error(`the other host was silent for ${silenceMs} ms`)),
+        });
+
+  function takeId(): number {
+    nextId += 1;
+    return nextId;
+  }
 
   function send(message: PeerMessage): void {
     if (!socket.writable) return;
@@ -99,7 +116,8 @@
 
   async function answer(id: number, kind: PeerRequestKind, body: unknown): Promise<void> {
     try {
-      send({ type: 'reply', id, body: await handleRequest(kind, body) });
+      // A ping asks only whether anybody answers.
+      send({ type: 'reply', id, body: kind === 'ping' ? true : await handleRequest(kind, body) });
     } catch (error) {
       send({ type: 'refusal', id, detail: describeError(error) });
     }
@@ -126,6 +144,7 @@
   const readFrames = createFrameReader(handleFrame);
   socket.setNoDelay(true);
   socket.on('data', (chunk: Buffer) => {
+    silence?.noteHeard();
     try {
       if (!readFrames(chunk)) socket.destroy(new Error('the other host sent too long a message'));
     } catch (error) {
@@ -135,6 +154,7 @@
   const closed = new Promise<void>((resolve) => {
     socket.on('error', () => undefined);
     socket.on('close', () => {
+      silence?.stop();
       for (const { finish } of [...pending.values()]) {
         finish(err({ kind: 'unknown', detail: 'the connection ended before the reply' }));
       }
@@ -148,8 +168,7 @@
         return Promise.resolve(err({ kind: 'not-sent', detail: 'the connection has ended' }));
       }
       return new Promise((resolve) => {
-        const id = nextId;
-        nextId += 1;
+        const id = takeId();
         const finish = (result: Result<unknown, PeerFailure>) => {
           cancelTimer();
           pending.delete(id);
@@ -159,6 +178,7 @@
           finish(err({ kind: 'unknown', detail: `no reply within ${timeoutMs} ms` })),
         );
         pending.set(id, { finish });
+        silence?.start();
         send({ type: 'request', id, kind, body });
       });
     },
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -71,7 +71,12 @@
   readonly isListed: (hostId: HostId) => boolean;
   readonly codec: HeartbeatCodec<Beat>;
   /** Time between two heartbeats of this host over one link, in milliseconds. */
-  readonly heartbeatIntervalMs?: number;
+  readonly findHeartbeatIntervalMs?: () => number;
+  /**
+   * A connection with requests in progress is given up after so long without a sign of life, in
+   * milliseconds; undefined leaves that to the time limits of requests and to heartbeats.
+   */
+  readonly silenceMs?: number;
   readonly buildHeartbeat: () => Beat;
   /**
    * Takes a heartbeat of another host. `askedAt` is the monotonic time at which this host asked for
@@ -145,7 +150,7 @@
   options: PeerNetworkOptions<Beat>,
 ): Promise<PeerNetwork<Beat>> {
   const { clock, random, logger, supervisor, codec } = options;
-  const heartbeatIntervalMs = options.heartbeatIntervalMs ?? HEARTBEAT_INTERVAL_MS;
+  const findHeartbeatIntervalMs = options.findHeartbeatIntervalMs ?? (() => HEARTBEAT_INTERVAL_MS);
   const links = new Map<HostId, Link<Beat>>();
   const spares = new Map<HostId, Promise<PeerConnection>>();
   let closedBytes = 0;
@@ -169,8 +174,11 @@
       localIp: parseAddress(options.address).ip,
       timeoutMs: CONNECT_TIMEOUT_MS,
     });
-    const connection = createPeerConnection(socket, clock, (kind, body) =>
-      handleRequest(hostId, kind, body),
+    const connection = createPeerConnection(
+      socket,
+      clock,
+      (kind, body) => handleRequest(hostId, kind, body),
+      options.silenceMs,
     );
     void connection.closed.then(() => {
       closedBytes += connection.countBytes();
@@ -205,7 +213,7 @@
   function waitForHeartbeat(link: Link<Beat>, signal: AbortSignal): Promise<void> {
     const wake = new AbortController();
     link.wake = () => wake.abort(NO_LONGER_NEEDED);
-    const intervalMs = heartbeatIntervalMs * (0.9 + random.nextFraction() * 0.2);
+    const intervalMs = findHeartbeatIntervalMs() * (0.9 + random.nextFraction() * 0.2);
     return waitFor(clock, intervalMs, AbortSignal.any([signal, wake.signal]));
   }
 
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -11,6 +11,7 @@
 /** What one host may ask of another. @public */
 export type PeerRequestKind =
   | 'hello'
+  | 'ping'
   | 'heartbeat'
   | 'read-configuration'
   | 'read-host-list'
@@ -23,6 +24,7 @@
 
 const requestKindSchema = z.enum([
   'hello',
+  'ping',
   'heartbeat',
   'read-configuration',
   'read-host-list',
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -105,11 +105,12 @@
   }
 
   function createBackend(server: ListedServer, pool: RelayPool | undefined) {
-    const hosts = Math.max(1, options.countHosts());
-    const planned = ((pool?.maxConnections ?? server.slots) * CONNECTION_SHARE) / hosts;
-    const maxConnections = Math.max(1, Math.floor(planned));
+    const planned = (pool?.maxConnections ?? server.slots) * CONNECTION_SHARE;
+    // The fleet may be found, and grow, after this server was.
+    const findMaxConnections = () =>
+      Math.max(1, Math.floor(planned / Math.max(1, options.countHosts())));
     const connections = createServerConnections(server.address, {
-      maxConnections,
+      maxConnections: findMaxConnections(),
       ...(pool === undefined ? {} : { probePath: pool.healthPath }),
     });
     const health = createServerHealth(clock, random, (state) =>
@@ -141,7 +142,7 @@
       connections,
       health,
       running: () => running,
-      maxRunning: () => Math.min(maxConnections, health.maxConcurrency()),
+      maxRunning: () => Math.min(findMaxConnections(), health.maxConcurrency()),
       failureShare: findFailureShare,
       reportedLoad: () =>
         report !== undefined && clock.now() - report.at <= REPORT_VALID_MS
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -1,9 +1,11 @@
 import {
+  computeWeightedOrder,
   createRandom,
   describeError,
   hostIdSchema,
   type Clock,
   type HostId,
+  type PoolId,
   type ProcessId,
   type Random,
   type Supervisor,
@@ -12,7 +14,9 @@
 import { parseAddress } from '@endiveferry/settings';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { computeHostWeight } from './computeHostWeight.js';
 import type { Beliefs } from './createBeliefs.js';
+import { createMembership } from './createMembership.js';
 import type { ServerList } from './createServerList.js';
 import type { TrustClock } from './createTrustClock.js';
 import {
@@ -21,14 +25,13 @@
   relayHeartbeatCodec,
   type RelayHeartbeat,
 } from './messages.js';
+import type { ToldWaits } from './pieces/createWaitTable.js';
 import type { HostPlace, WireProtocol } from './ports.js';
 
-/** Waiting times, loads and news of the configuration are this fresh, in milliseconds. */
-const HEARTBEAT_INTERVAL_MS = 400;
-/** A host that was not heard for so long, in milliseconds, gets no work. */
-const LIVE_MS = 1_500;
-/** A host that nobody heard for so long, in milliseconds, is forgotten. */
-const FORGET_MS = 10_000;
+/** A connection with requests in progress is given up after so long without a sign of life. */
+const SILENCE_MS = 900;
+/** An order of dispatchers is kept for so long, in milliseconds: it is asked for with each decision. */
+const ORDER_VALID_MS = 50;
 /** Time for reading a configuration or a list from another host, in milliseconds. */
 const READ_TIMEOUT_MS = 2_000;
 
@@ -46,8 +49,10 @@
  */
 export interface Fleet {
   readonly hostId: HostId;
-  /** Hosts that take work, this one included unless it stops. */
-  readonly listLive: () => readonly HostId[];
+  /** Hosts that may gather the pieces of a pool, best first; this one is among them unless it stops. */
+  listDispatchers(poolId: PoolId): readonly HostId[];
+  /** Whether this host is the one that gathers a pool's pieces. */
+  readonly isDispatcher: (poolId: PoolId) => boolean;
   /** The most hosts that were seen at a time in the last seconds, this one included. */
   readonly countHosts: () => number;
   readonly request: PeerNetwork<RelayHeartbeat>['request'];
@@ -77,18 +82,15 @@
   readonly beliefs: Beliefs;
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
-  /** What this host tells of its dispatchers and of the engines that it uses. */
+  /** What this host tells of dispatchers and of the engines that it uses. */
   readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending'>;
+  /** Pools whose pieces are gathered. */
+  readonly listStagePools: () => readonly PoolId[];
+  /** Takes what other hosts tell of waiting times. */
+  readonly noteWaits: (told: ToldWaits) => void;
   readonly handleRequest: HandleFleetRequest;
 }
 
-interface KnownHost {
-  heardAt: number;
-  heartbeat: RelayHeartbeat | undefined;
-  /** This host heard it itself, not by another one's word. */
-  directAt: number;
-}
-
 /**
  * Starts listening for other hosts and looks for them at the seeds. Hosts are known by their IP
  * number: all of them listen at the same port.
@@ -102,10 +104,18 @@
   const { place, clock, trustClock, logger, beliefs, servers } = options;
   const hostId = hostIdSchema.parse(place.ip);
   const { port } = parseAddress(place.peersAddress);
-  const known = new Map<HostId, KnownHost>();
+  const weight = computeHostWeight(place);
   const seeds = place.seeds
     .map((address) => hostIdSchema.parse(parseAddress(address).ip))
     .filter((id) => id !== hostId);
+  const members = createMembership({
+    hostId,
+    clock,
+    logger,
+    random: options.random,
+    onChange: () => updatePeers(),
+  });
+  const orders = new Map<PoolId, { readonly at: number; readonly hosts: readonly HostId[] }>();
   let isReadingConfiguration = false;
   let isReadingServers = false;
 
@@ -115,50 +125,49 @@
       processId: options.processId,
       availabilityZone: place.availabilityZone,
       isStopping: options.isStopping(),
+      weight,
       version: beliefs.version(),
       ...(Number.isFinite(confirmedAgeMs) ? { confirmedAgeMs } : {}),
       serversRevision: servers.revision(),
-      hosts: [...known].flatMap(([id, { directAt }]) =>
-        clock.now() - directAt < LIVE_MS ? [id] : [],
-      ),
+      hosts: members.listTold(),
       ...options.buildLoad(),
     };
   }
 
-  function noteHost(id: HostId, heartbeat: RelayHeartbeat | undefined): void {
-    if (id === hostId) return;
-    const host = known.get(id) ?? {
-      heardAt: clock.now(),
-      heartbeat: undefined,
-      directAt: -Infinity,
-    };
-    const wasKnown = known.has(id);
-    known.set(id, host);
-    host.heardAt = clock.now();
-    if (heartbeat !== undefined) {
-      host.heartbeat = heartbeat;
-      host.directAt = clock.now();
-    }
-    if (!wasKnown) {
-      logger.info('a host was found', { peer: id });
-      updatePeers();
-    }
+  function listDispatchers(poolId: PoolId): readonly HostId[] {
+    const known = orders.get(poolId);
+    if (known !== undefined && clock.now() - known.at < ORDER_VALID_MS) return known.hosts;
+    const hosts = orderDispatchers(poolId);
+    orders.set(poolId, { at: clock.now(), hosts });
+    return hosts;
   }
 
+  function orderDispatchers(poolId: PoolId): readonly HostId[] {
+    const live = new Map(members.listLive());
+    if (!options.isStopping() || live.size === 0) live.set(hostId, weight);
+    return computeWeightedOrder(poolId, live);
+  }
+
+  /** Dispatchers need each other's waiting times, so they are linked whatever the fleet's size. */
+  function listOtherDispatchers(): readonly HostId[] {
+    const dispatchers = options
+      .listStagePools()
+      .flatMap((poolId) => listDispatchers(poolId)[0] ?? []);
+    return dispatchers.includes(hostId) ? dispatchers.filter((id) => id !== hostId) : [];
+  }
+
+  /** Links follow what is known of the fleet. */
   function updatePeers(): void {
-    for (const [id, { heardAt }] of known) {
-      if (clock.now() - heardAt > FORGET_MS && !seeds.includes(id)) {
-        known.delete(id);
-        logger.info('a host is forgotten', { peer: id, unheardMs: FORGET_MS });
-      }
-    }
-    const ids = [hostId, ...known.keys(), ...seeds];
-    network.setPeers(choosePeers(hostId, new Map(ids.map((id) => [id, place.availabilityZone]))));
+    const ids = [hostId, ...members.listKnown(), ...seeds];
+    const chosen = choosePeers(hostId, new Map(ids.map((id) => [id, place.availabilityZone])));
+    const linked = [...new Set([...chosen, ...listOtherDispatchers()])];
+    members.setLinked(linked);
+    network.setPeers(linked);
   }
 
   function receiveHeartbeat(id: HostId, heartbeat: RelayHeartbeat, askedAt: number | undefined) {
-    noteHost(id, heartbeat);
-    for (const other of heartbeat.hosts) noteHost(other, undefined);
+    members.noteHeartbeat(id, heartbeat);
+    for (const told of heartbeat.waits) options.noteWaits(told);
     if (askedAt !== undefined && heartbeat.confirmedAgeMs !== undefined) {
       const elapsedMs = clock.now() - askedAt + heartbeat.confirmedAgeMs;
       beliefs.confirm(heartbeat.version, trustClock.goBack(trustClock.takeMoment(), elapsedMs));
@@ -236,7 +245,8 @@
     findAddress: (id) => `${id}:${port}`,
     isListed: () => true,
     codec: relayHeartbeatCodec,
-    heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+    findHeartbeatIntervalMs: members.findIntervalMs,
+    silenceMs: SILENCE_MS,
     buildHeartbeat,
     onHeartbeat: receiveHeartbeat,
     handleRequest: (from, kind, body) =>
@@ -246,23 +256,17 @@
   });
   updatePeers();
 
-  const isLive = ({ heardAt }: KnownHost) => clock.now() - heardAt < LIVE_MS;
-
   return {
     hostId,
-    listLive() {
-      const others = [...known]
-        .filter(([, host]) => isLive(host) && host.heartbeat?.isStopping !== true)
-        .map(([id]) => id);
-      return options.isStopping() && others.length > 0 ? others : [hostId, ...others];
-    },
-    countHosts: () => 1 + known.size,
+    listDispatchers,
+    isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
+    countHosts: () => 1 + members.listKnown().length,
     request: (...args) => network.request(...args),
-    listHeartbeats: () =>
-      [...known.values()].flatMap((host) =>
-        isLive(host) && host.heartbeat !== undefined ? [host.heartbeat] : [],
-      ),
-    announce: () => network.sendHeartbeats(),
+    listHeartbeats: members.listHeartbeats,
+    announce() {
+      updatePeers();
+      network.sendHeartbeats();
+    },
     renew: () => network.renewLinks(),
     close: () => network.close(),
   };
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -1,5 +1,4 @@
 import {
-  computeRendezvousOrder,
   createRefusal,
   type Clock,
   type Failure,
@@ -19,6 +18,7 @@
   type RunPiecesReply,
 } from './messages.js';
 import type { PieceDispatcher, PieceResult } from './pieces/PieceDispatcher.js';
+import type { ToldWaits } from './pieces/createWaitTable.js';
 import type { PieceGroup } from './pieces/WaitingGroup.js';
 
 /** Time beyond a request's own after which a dispatcher's answer is not waited for, in milliseconds. */
@@ -57,9 +57,11 @@
   readonly findFleet: () => Fleet;
   /** The dispatcher of a pool on this host. */
   readonly findDispatcher: (poolId: PoolId) => PieceDispatcher | undefined;
+  /** Takes what a dispatcher on another host tells of its waiting times. */
+  readonly noteWaits: (told: ToldWaits) => void;
 }
 
-function toReply(result: Result<readonly PieceResult[], Failure>): RunPiecesReply {
+function toOutcome(result: Result<readonly PieceResult[], Failure>): RunPiecesReply['outcome'] {
   if (result.isOk()) return { kind: 'made', results: [...result.value] };
   const { reason, detail, retryAfterMs } = result.error;
   const known = reason === 'deadline-exceeded' || reason === 'cancelled' || reason === 'overloaded';
@@ -71,9 +73,9 @@
   };
 }
 
-function toResult(reply: RunPiecesReply): Result<readonly PieceResult[], Failure> {
-  if (reply.kind === 'made') return ok(reply.results);
-  return err(createRefusal(reply.reason, reply.detail, reply.retryAfterMs));
+function toResult(outcome: RunPiecesReply['outcome']): Result<readonly PieceResult[], Failure> {
+  if (outcome.kind === 'made') return ok(outcome.results);
+  return err(createRefusal(outcome.reason, outcome.detail, outcome.retryAfterMs));
 }
 
 /**
@@ -122,7 +124,11 @@
     const timeoutMs = Math.max(1, order.remainingMs) + REPLY_SLACK_MS;
     const reply = await findFleet().request(hostId, 'run-pieces', order, timeoutMs);
     signal.removeEventListener('abort', cancel);
-    if (reply.isOk()) return toResult(runPiecesReplySchema.parse(reply.value));
+    if (reply.isOk()) {
+      const { outcome, byRank } = runPiecesReplySchema.parse(reply.value);
+      options.noteWaits({ poolId, ageMs: 0, byRank });
+      return toResult(outcome);
+    }
     logger.warn('a dispatcher was lost', {
       requestId: group.requestId,
       pool: poolId,
@@ -150,7 +156,8 @@
       targetEndAt: clock.now() + targetRemainingMs,
     };
     try {
-      return toReply(await dispatcher.run(group, controller.signal));
+      const outcome = toOutcome(await dispatcher.run(group, controller.signal));
+      return { outcome, byRank: [...dispatcher.listWaits()] };
     } finally {
       orders.delete(orderId);
     }
@@ -169,8 +176,7 @@
     },
   };
 
-  const findDispatcherHosts = (poolId: PoolId) =>
-    computeRendezvousOrder(poolId, findFleet().listLive());
+  const findDispatcherHosts = (poolId: PoolId) => findFleet().listDispatchers(poolId);
 
   return {
     async run(poolId, group, signal) {
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -11,22 +11,36 @@
 
 import { rankWaitSchema } from './pieces/RankWait.js';
 
+/** A host, how long ago it was heard, in milliseconds, whether it stops, and its weight. */
+const toldHostSchema = z.tuple([hostIdSchema, z.number(), z.boolean(), z.number().positive()]);
+
+/** What one host tells of another. @internal */
+export type ToldHost = z.infer<typeof toldHostSchema>;
+
+const toldWaitsSchema = z.object({
+  poolId: poolIdSchema,
+  ageMs: z.number(),
+  byRank: z.array(rankWaitSchema),
+});
+
 /** Validator of a heartbeat between relay hosts. */
 const relayHeartbeatSchema = z.object({
   processId: processIdSchema,
   availabilityZone: availabilityZoneIdSchema,
   /** Takes no more work; what it has is finished. */
   isStopping: z.boolean(),
+  /** Part of the work for all hosts that it takes, against others. */
+  weight: z.number().positive(),
   /** Version of the configuration in force; 0 when none is known. */
   version: z.int(),
   /** Time since that version was last confirmed, in milliseconds; absent when never. */
   confirmedAgeMs: z.number().optional(),
   /** Revision of the list of backend servers; 0 when none is known. */
   serversRevision: z.int(),
-  /** Hosts that this one heard lately. */
-  hosts: z.array(hostIdSchema).default([]),
-  /** Waiting times at the dispatchers on this host. */
-  waits: z.array(z.object({ poolId: poolIdSchema, byRank: z.array(rankWaitSchema) })).default([]),
+  /** Hosts that were heard lately, by this one or by those that told it. */
+  hosts: z.array(toldHostSchema).default([]),
+  /** Waiting times at dispatchers, on this host and as it was told. */
+  waits: z.array(toldWaitsSchema).default([]),
   /** Prompt tokens of this host's requests that engines have not read yet. */
   pending: z.array(z.object({ serverId: backendServerIdSchema, tokens: z.number() })).default([]),
 });
@@ -70,15 +84,19 @@
 const pieceResultSchema = z.object({ serverId: backendServerIdSchema, handle: z.string() });
 
 /** Validator of the answer to a request for pieces. @internal */
-export const runPiecesReplySchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('made'), results: z.array(pieceResultSchema) }),
-  z.object({
-    kind: z.literal('failed'),
-    reason: z.enum(['deadline-exceeded', 'server-error', 'cancelled', 'overloaded']),
-    detail: z.string(),
-    retryAfterMs: z.number().optional(),
-  }),
-]);
+export const runPiecesReplySchema = z.object({
+  /** Waiting times at the dispatcher now. */
+  byRank: z.array(rankWaitSchema),
+  outcome: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('made'), results: z.array(pieceResultSchema) }),
+    z.object({
+      kind: z.literal('failed'),
+      reason: z.enum(['deadline-exceeded', 'server-error', 'cancelled', 'overloaded']),
+      detail: z.string(),
+      retryAfterMs: z.number().optional(),
+    }),
+  ]),
+});
 
 /** The answer to a request for pieces. @internal */
 export type RunPiecesReply = z.infer<typeof runPiecesReplySchema>;
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -11,6 +11,7 @@
   PieceResult,
   PiecesAnswer,
 } from './PieceDispatcher.js';
+import { createWaitMemo } from './createWaitMemo.js';
 import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
 import { computeWaits, type RankWait } from './RankWait.js';
 import { refuseLate } from './refuseLate.js';
@@ -62,18 +63,23 @@
     look();
   }
 
-  function findRefusal(group: PieceGroup, waits: readonly RankWait[]): Failure | undefined {
+  function findRefusal(
+    group: PieceGroup,
+    waits: readonly RankWait[],
+    estimateWaitMs = options.estimateWaitMs,
+  ): Failure | undefined {
     if (capacity === undefined) return undefined;
     const soloMs = estimateCallMs(capacity, Math.min(group.pieceCount, capacity.batch), 1);
-    const { estimateWaitMs } = options;
     return refuseLate(group, { now: clock.now(), soloMs, waits, estimateWaitMs });
   }
 
   /** Ends groups whose time is over, and refuses those that nothing was done for and that are late. */
   function dropExpired(): void {
     const waits = listWaits();
+    const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
     for (const entry of queue) {
-      const refusal = entry.calls.length === 0 ? findRefusal(entry.group, waits) : undefined;
+      const refusal =
+        entry.calls.length === 0 ? findRefusal(entry.group, waits, estimateWaitMs) : undefined;
       if (refusal !== undefined) end(entry, err(refusal));
       if (entry.pieces.length === 0 || entry.group.endAt > clock.now()) continue;
       end(
@@ -98,6 +104,7 @@
   function look(): void {
     if (capacity === undefined) return;
     dropExpired();
+    const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
     for (const replica of findIdle(capacity.slots)) {
       const waiting = [...queue].filter(({ pieces }) => pieces.length > 0);
       if (waiting.length === 0) return;
@@ -112,7 +119,7 @@
         replicaCount: replicas.list().length,
         now: clock.now(),
         zones: new Set(replicas.listUsable().map((state) => state.server().availabilityZone)),
-        estimateWaitMs: options.estimateWaitMs,
+        estimateWaitMs,
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
     }
@@ -162,12 +169,14 @@
     );
     replica.endCall(bytes);
     const measuredMs = clock.now() - startedAt;
-    logger.debug('a call of pieces ended', {
+    logger.info('a call of pieces ended', {
+      requestIds: parts.map(({ waiting }) => waiting.group.requestId),
       pool: poolId,
       backendServer: replica.server().serverId,
-      groups: parts.length,
       pieces: slots.length,
       waiting: countWaiting(),
+      slowness: Number(replica.slowness().toFixed(2)),
+      freeBytes: replica.freeBytes({ callMs, pieceMs, resultTtlMs, ...rest }),
       measuredMs: Math.round(measuredMs),
       expectedMs: Math.round(expectedMs),
       outcome: answer.kind,
--- a/packages/relay/src/lib/pieces/refuseLate.ts
+++ b/packages/relay/src/lib/pieces/refuseLate.ts
@@ -41,5 +41,10 @@
   const isLate = choice.now + waitMs + choice.soloMs > group.targetEndAt;
   if (!isLate || waitMs < MIN_WAIT_MS) return undefined;
   const retryAfterMs = Math.max(MIN_RETRY_MS, sumWaits(Infinity));
-  return createRefusal('overloaded', 'the stages cannot be done by the target', retryAfterMs);
+  const leftMs = Math.round(group.targetEndAt - choice.now);
+  return createRefusal(
+    'overloaded',
+    `${Math.round(waitMs)} ms of work waits before the first stage's end, due in ${leftMs} ms`,
+    retryAfterMs,
+  );
 }
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -173,6 +173,10 @@
   readonly readinessAddress: string;
   readonly peersAddress: string;
   readonly seeds: readonly string[];
+  /** What this process gets of a processor, in cores. */
+  readonly cores: number;
+  /** Bandwidth of the host's link, in Mbit/s. */
+  readonly linkMbps: number;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number;
   /** Longest time for which a key may be honoured after it was taken away, in milliseconds. */
