Give results up once their readers have fetched them; run stages again when one is lost

A dispatcher now tells, 0.12 s after a call began, that its inputs were fetched.

A result that is gone, by that or because its maker died, used to end the request; its stages run once more, also when the engine finds it (409, nothing ran).

--- a/apps/bench/src/lib/createFleet.ts
+++ b/apps/bench/src/lib/createFleet.ts
@@ -1,8 +1,8 @@
 import { randomInt } from 'node:crypto';
-import { createServer } from 'node:net';
 
 import {
   createRandom,
+  findFreePort,
   hostIdSchema,
   listEntries,
   type HostId,
@@ -26,15 +26,10 @@
 import { startStandIns, type StandIns } from './standins/startStandIns.js';
 
 const LOOPBACK = '127.0.0.1';
-/** Used only to look for a port that is free at every loopback address. */
-const ANY_ADDRESS = '0.0.0.0';
 const ANY_PORT = `${LOOPBACK}:0`;
 /** Loopback addresses of the relays before hosts, and of hosts behind relays. */
 const RELAY_NETWORK = '127.0.2';
 const HOST_NETWORK = '127.0.1';
-/** Below the ports that operating systems give out by themselves. */
-const FIRST_PEER_PORT = 10_000;
-const PEER_PORTS = 20_000;
 const MAX_SEED = 2 ** 31;
 
 /**
@@ -91,21 +86,6 @@
   throw new Error(configuration.error.map(formatFault).join('\n'));
 }
 
-function canListen(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, ANY_ADDRESS, () => server.close(() => resolve(true)));
-  });
-}
-
-async function findFreePort(random: Random): Promise<number> {
-  for (;;) {
-    const port = FIRST_PEER_PORT + random.nextInteger(PEER_PORTS);
-    if (await canListen(port)) return port;
-  }
-}
-
 /** Keeps the first hosts, and gives each an address on loopback. */
 async function placeHosts(
   configuration: Configuration,
--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -198,11 +198,11 @@
     ),
   );
   const client: StageClient = {
-    async run(poolId, group, signal) {
+    async run(poolId, group, signal, onInputsFetched) {
       await later(clock, HOP_MS);
       const dispatcher = dispatchers.get(poolId);
       if (dispatcher === undefined) throw new Error(`the load has no pool ${poolId}`);
-      return dispatcher.run(group, signal);
+      return dispatcher.run(group, signal, onInputsFetched);
     },
     free: (poolId, results) => dispatchers.get(poolId)?.free(results),
     handleRequest: () => undefined,
--- a/apps/cli/src/lib/hostCommands.ts
+++ b/apps/cli/src/lib/hostCommands.ts
@@ -1,7 +1,11 @@
+import { readFileSync } from 'node:fs';
+
+import { describeError } from '@endiveferry/base';
 import { Command, Option } from 'clipanion';
 import { isNumber } from 'typanion';
 
 import { exitCodes } from './BaseCommand.js';
+import { explainLog, formatLogExplanation, parseLogLine, type LogLine } from './explainLog.js';
 import { formatTable } from './formatTable.js';
 import { askHost, OperatorsCommand } from './OperatorsCommand.js';
 
@@ -176,12 +180,41 @@
   static override paths = [['explain']];
   static override usage = Command.Usage({
     description: 'show what was decided about a request, where, when and why',
-    examples: [['Explain a request', '$0 explain host-1.0a1b2c3d4e5f.7']],
+    examples: [
+      ['Explain a request', '$0 explain host-1.0a1b2c3d4e5f.7'],
+      ['Explain a request from logs', '$0 explain 9c41d07be2a35f68 --log hosts.log'],
+    ],
   });
 
   requestId = Option.String();
 
+  logs = Option.Array('--log', {
+    description: 'a file with log lines of hosts, read in place of asking them; may be repeated',
+  });
+
   async execute(): Promise<number> {
+    return this.logs === undefined ? this.explainByHosts() : this.explainByLogs(this.logs);
+  }
+
+  private explainByLogs(files: readonly string[]): number {
+    const lines: LogLine[] = [];
+    for (const file of files) {
+      try {
+        const texts = readFileSync(file, 'utf8').split('\n');
+        lines.push(...texts.flatMap((text) => parseLogLine(text) ?? []));
+      } catch (error) {
+        return this.fail(`${file} cannot be read: ${describeError(error)}`);
+      }
+    }
+    const explanation = explainLog(lines, this.requestId);
+    if (explanation === undefined) {
+      return this.fail(`none of ${lines.length} log lines names ${this.requestId}`);
+    }
+    this.print(explanation, formatLogExplanation(explanation));
+    return exitCodes.ok;
+  }
+
+  private async explainByHosts(): Promise<number> {
     const answers = await this.askAll(`/v1/requests/${encodeURIComponent(this.requestId)}`);
     const traces = answers.flatMap(({ address, answer }) =>
       answer.isOk() ? [{ address, trace: answer.value as Trace }] : [],
--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -19,6 +19,7 @@
   'connect-failed': 502,
   'connection-lost': 502,
   'server-refused': 502,
+  'input-lost': 502,
   'server-error': 502,
   'bad-answer': 502,
   cancelled: 499,
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -46,6 +46,7 @@
   type StageId,
   type WorkspaceId,
 } from './lib/ids.js';
+export { findFreePort } from './lib/findFreePort.js';
 export { listEntries } from './lib/listEntries.js';
 export { readPropertyOptions } from './lib/readPropertyOptions.js';
 export {
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -33,6 +33,7 @@
   'connection-lost',
   'server-refused',
   'server-error',
+  'input-lost',
   'bad-answer',
   'cancelled',
   'draining',
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -20,6 +20,7 @@
   | 'read-servers'
   | 'run-pieces'
   | 'cancel-pieces'
+  | 'inputs-fetched'
   | 'free-results';
 
 const requestKindSchema = z.enum([
@@ -33,6 +34,7 @@
   'read-servers',
   'run-pieces',
   'cancel-pieces',
+  'inputs-fetched',
   'free-results',
 ]) satisfies z.ZodType<PeerRequestKind>;
 
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -15,6 +15,9 @@
 import type { Route } from './RelayConfiguration.js';
 import type { Responder } from './Responder.js';
 
+/** The results of a route's stages, made once more. @public */
+export type RenewedInputs = Pick<ForwardRequest, 'inputs' | 'inputBytes'>;
+
 /** A request that is ready to be sent to a backend server. @public */
 export interface ForwardRequest {
   readonly call: RawCall;
@@ -33,6 +36,8 @@
   /** Aborts when the caller leaves. */
   readonly signal: AbortSignal;
   readonly responder: Responder;
+  /** Makes the inputs once more, because some are gone; undefined when that is of no use. */
+  readonly renewInputs: () => Promise<RenewedInputs | undefined>;
   /** Called when a backend server has read all inputs. */
   readonly onInputsRead: () => void;
 }
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -13,13 +13,13 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import { admitCall, type Admitted } from './admitCall.js';
-import { chooseEngine, choosePlainServer, type InputBytes } from './chooseBackend.js';
+import { chooseEngine, choosePlainServer } from './chooseBackend.js';
 import type { Backends } from './createBackends.js';
 import type { Beliefs } from './createBeliefs.js';
 import { createPromptCache } from './createPromptCache.js';
 import type { StageClient } from './createStageClient.js';
 import { forwardCall } from './forwardCall.js';
-import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
+import type { ForwardOutcome, ForwardRequest, RenewedInputs } from './ForwardRequest.js';
 import type { CallFacts, HostPlace, RawCall, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
 import { runStages, type StagesOutput } from './runStages.js';
@@ -111,10 +111,27 @@
     admitted: Admitted,
     signal: AbortSignal,
   ): Promise<Result<StagesOutput | undefined, Failure>> {
-    const { route, facts, inForce } = admitted;
+    const { route, facts } = admitted;
     if (route.stages.length === 0) return ok(undefined);
     const refusal = checkDoor(admitted);
     if (refusal !== undefined) return err(refusal);
+    const first = await runStagesOnce(admitted, signal);
+    // A result died with the replica that made it, or was given up before its reader was done.
+    const wasLost = first.isErr() && first.error.reason === 'input-lost';
+    if (!wasLost || signal.aborted) return first;
+    logger.info('the stages of a request run again', {
+      requestId: facts.requestId,
+      detail: first.error.detail,
+      remainingMs: Math.round(admitted.endAt - clock.now()),
+    });
+    return runStagesOnce(admitted, signal);
+  }
+
+  function runStagesOnce(
+    admitted: Admitted,
+    signal: AbortSignal,
+  ): Promise<Result<StagesOutput, Failure>> {
+    const { route, facts, inForce } = admitted;
     return runStages(
       {
         requestId: facts.requestId,
@@ -162,11 +179,12 @@
     return { backend, promptTokens };
   }
 
-  function findInputBytes(output: StagesOutput | undefined): readonly InputBytes[] {
-    return (output?.results ?? []).flatMap(({ serverId, bytes }) => {
+  function describeInputs(output: StagesOutput | undefined): RenewedInputs {
+    const inputBytes = (output?.results ?? []).flatMap(({ serverId, bytes }) => {
       const availabilityZone = backends.find(serverId)?.server.availabilityZone;
       return availabilityZone === undefined ? [] : [{ availabilityZone, bytes }];
     });
+    return { inputs: output?.results.map(({ handle }) => handle), inputBytes };
   }
 
   async function serveAdmitted(
@@ -174,9 +192,18 @@
     responder: Responder,
     signal: AbortSignal,
   ): Promise<ForwardOutcome> {
-    const output = await prepareInputs(admitted, signal);
-    if (output.isErr()) return sendFailure(output.error, admitted.facts, responder);
-    const preparedAt = clock.now();
+    const prepared = await prepareInputs(admitted, signal);
+    if (prepared.isErr()) return sendFailure(prepared.error, admitted.facts, responder);
+    let output = prepared.value;
+    let preparedAt = clock.now();
+    const renewInputs = async () => {
+      output?.free();
+      output = undefined;
+      const renewed = await prepareInputs(admitted, signal);
+      preparedAt = clock.now();
+      output = renewed.unwrapOr(undefined);
+      return output === undefined ? undefined : describeInputs(output);
+    };
     const { call, facts, route, poolId, workspace, rank, endAt, streamEndAt } = admitted;
     const outcome = await forwardCall(
       {
@@ -186,13 +213,13 @@
         poolId,
         workspaceId: workspace?.workspaceId,
         rank,
-        inputs: output.value?.results.map(({ handle }) => handle),
-        inputBytes: findInputBytes(output.value),
+        ...describeInputs(output),
         endAt,
         streamEndAt,
         signal,
         responder,
-        onInputsRead: () => output.value?.free(),
+        renewInputs,
+        onInputsRead: () => output?.free(),
       },
       {
         clock,
@@ -204,7 +231,7 @@
         random,
       },
     );
-    output.value?.free();
+    output?.free();
     if (outcome.firstEventAt !== undefined) {
       firstEventMs += FIRST_EVENT_WEIGHT * (outcome.firstEventAt - preparedAt - firstEventMs);
     }
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -12,6 +12,7 @@
 import {
   cancelPiecesSchema,
   freeResultsSchema,
+  inputsFetchedSchema,
   runPiecesReplySchema,
   runPiecesSchema,
   type RunPieces,
@@ -34,11 +35,15 @@
  * @public
  */
 export interface StageClient {
-  /** Makes the results of one stage of one request. */
+  /**
+   * Makes the results of one stage of one request; `onInputsFetched` is called when the stage's
+   * inputs are not needed any more.
+   */
   run(
     poolId: PoolId,
     group: PieceGroup,
     signal: AbortSignal,
+    onInputsFetched: () => void,
   ): Promise<Result<readonly PieceResult[], Failure>>;
   /** Gives up results that nobody needs any more. */
   free(poolId: PoolId, results: readonly PieceResult[]): void;
@@ -61,13 +66,16 @@
   readonly noteWaits: (told: ToldWaits) => void;
 }
 
+/** Reasons that mean the same to the host that handed the stage over. */
+const passedReasons = ['deadline-exceeded', 'input-lost', 'cancelled', 'overloaded'] as const;
+
 function toOutcome(result: Result<readonly PieceResult[], Failure>): RunPiecesReply['outcome'] {
   if (result.isOk()) return { kind: 'made', results: [...result.value] };
   const { reason, detail, retryAfterMs } = result.error;
-  const known = reason === 'deadline-exceeded' || reason === 'cancelled' || reason === 'overloaded';
+  const known = passedReasons.find((passed) => passed === reason);
   return {
     kind: 'failed',
-    reason: known ? reason : 'server-error',
+    reason: known ?? 'server-error',
     detail,
     ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
   };
@@ -88,6 +96,7 @@
 export function createStageClient(options: StageClientOptions): StageClient {
   const { clock, logger, findFleet, findDispatcher } = options;
   const orders = new Map<string, AbortController>();
+  const fetchHandlers = new Map<string, () => void>();
   let nextOrder = 0;
 
   function buildOrder(poolId: PoolId, orderId: string, group: PieceGroup): RunPieces {
@@ -114,6 +123,7 @@
     poolId: PoolId,
     group: PieceGroup,
     signal: AbortSignal,
+    onInputsFetched: () => void,
   ): Promise<Result<readonly PieceResult[], Failure> | undefined> {
     nextOrder += 1;
     const order = buildOrder(poolId, `${findFleet().hostId}/${nextOrder}`, group);
@@ -122,7 +132,9 @@
       void findFleet().request(hostId, 'cancel-pieces', { poolId, orderId }, SHORT_REQUEST_MS);
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, order.remainingMs) + REPLY_SLACK_MS;
+    fetchHandlers.set(orderId, onInputsFetched);
     const reply = await findFleet().request(hostId, 'run-pieces', order, timeoutMs);
+    fetchHandlers.delete(orderId);
     signal.removeEventListener('abort', cancel);
     if (reply.isOk()) {
       const { outcome, byRank } = runPiecesReplySchema.parse(reply.value);
@@ -138,7 +150,7 @@
     return undefined;
   }
 
-  async function receiveOrder(body: unknown): Promise<RunPiecesReply> {
+  async function receiveOrder(from: HostId, body: unknown): Promise<RunPiecesReply> {
     const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
       runPiecesSchema.parse(body);
     const dispatcher = findDispatcher(poolId);
@@ -156,20 +168,31 @@
       targetEndAt: clock.now() + targetRemainingMs,
     };
     try {
-      const outcome = toOutcome(await dispatcher.run(group, controller.signal));
+      const noteFetched = () =>
+        void findFleet().request(from, 'inputs-fetched', { orderId }, SHORT_REQUEST_MS);
+      const hasInputs = inputs !== undefined;
+      const outcome = toOutcome(
+        await dispatcher.run(group, controller.signal, hasInputs ? noteFetched : undefined),
+      );
       return { outcome, byRank: [...dispatcher.listWaits()] };
     } finally {
       orders.delete(orderId);
     }
   }
 
-  const requestHandlers: Partial<Record<string, (body: unknown) => Promise<unknown>>> = {
+  const requestHandlers: Partial<
+    Record<string, (from: HostId, body: unknown) => Promise<unknown>>
+  > = {
     'run-pieces': receiveOrder,
-    'cancel-pieces': (body) => {
+    'inputs-fetched': (_from, body) => {
+      fetchHandlers.get(inputsFetchedSchema.parse(body).orderId)?.();
+      return Promise.resolve(true);
+    },
+    'cancel-pieces': (_from, body) => {
       orders.get(cancelPiecesSchema.parse(body).orderId)?.abort();
       return Promise.resolve(true);
     },
-    'free-results': (body) => {
+    'free-results': (_from, body) => {
       const { poolId, results } = freeResultsSchema.parse(body);
       findDispatcher(poolId)?.free(results);
       return Promise.resolve(true);
@@ -179,15 +202,15 @@
   const findDispatcherHosts = (poolId: PoolId) => findFleet().listDispatchers(poolId);
 
   return {
-    async run(poolId, group, signal) {
+    async run(poolId, group, signal, onInputsFetched) {
       for (const hostId of findDispatcherHosts(poolId).slice(0, MAX_DISPATCHERS)) {
         if (hostId === findFleet().hostId) break;
-        const result = await runAt(hostId, poolId, group, signal);
+        const result = await runAt(hostId, poolId, group, signal, onInputsFetched);
         if (result !== undefined) return result;
         if (signal.aborted || clock.now() >= group.endAt) break;
       }
       const own = findDispatcher(poolId);
-      if (own !== undefined) return own.run(group, signal);
+      if (own !== undefined) return own.run(group, signal, onInputsFetched);
       return err(createRefusal('no-backend-server', `nothing is known of pool ${poolId}`));
     },
     free(poolId, results) {
@@ -199,6 +222,6 @@
       }
       void findFleet().request(hostId, 'free-results', { poolId, results }, SHORT_REQUEST_MS);
     },
-    handleRequest: (_hostId, kind, body) => requestHandlers[kind]?.(body),
+    handleRequest: (from, kind, body) => requestHandlers[kind]?.(from, body),
   };
 }
--- a/packages/relay/src/lib/forwardCall.ts
+++ b/packages/relay/src/lib/forwardCall.ts
@@ -33,7 +33,8 @@
 const EVENT_PATIENCE_MS = 1_500;
 
 interface ForwardState {
-  readonly request: ForwardRequest;
+  /** Its inputs may be made once more. */
+  request: ForwardRequest;
   readonly ports: ForwardPorts;
   readonly relay: StreamRelay;
   readonly tried: Set<BackendServerId>;
@@ -43,6 +44,7 @@
   firstEventAt: number | undefined;
   lastEventAt: number;
   running: RunningCall | undefined;
+  hasRenewed: boolean;
 }
 
 /** Ends an attempt when the caller leaves, time is up, or a repeatable one is silent for too long. */
@@ -166,6 +168,16 @@
   return ports.budget.tryWithdraw();
 }
 
+/** Has inputs made once more; a second loss is taken for a failure. */
+async function renewInputs(state: ForwardState): Promise<boolean> {
+  if (state.hasRenewed || !state.ports.budget.tryWithdraw()) return false;
+  state.hasRenewed = true;
+  const renewed = await state.request.renewInputs();
+  if (renewed === undefined) return false;
+  state.request = { ...state.request, ...renewed };
+  return true;
+}
+
 function buildFailure(state: ForwardState, end: AttemptEnd | undefined): Failure {
   const { request, ports, execution } = state;
   if (request.signal.aborted) {
@@ -250,11 +262,12 @@
     firstEventAt: undefined,
     lastEventAt: 0,
     running: undefined,
+    hasRenewed: false,
   };
   ports.budget.recordFirstTry();
   let end: AttemptEnd | undefined;
   for (;;) {
-    const chosen = ports.choose(request, state.tried);
+    const chosen = ports.choose(state.request, state.tried);
     if (chosen === undefined) return answerCaller(state, end);
     const { backend } = chosen;
     state.tried.add(backend.server.serverId);
@@ -262,6 +275,13 @@
     if (end.kind !== 'not-sent') state.sent += 1;
     state.execution = mergeExecution(state.execution, findExecution(end));
     recordAttempt(state, backend, end);
+    if (end.kind === 'refused' && end.facts.isInputLost) {
+      if (!(await renewInputs(state))) return answerCaller(state, end);
+      // Nothing ran, and the same server may take the request with its new inputs.
+      state.tried.delete(backend.server.serverId);
+      state.sent -= 1;
+      continue;
+    }
     if (end.kind === 'success' || !mayTryAgain(state, end)) return answerCaller(state, end);
   }
 }
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -91,7 +91,13 @@
     z.object({ kind: z.literal('made'), results: z.array(pieceResultSchema) }),
     z.object({
       kind: z.literal('failed'),
-      reason: z.enum(['deadline-exceeded', 'server-error', 'cancelled', 'overloaded']),
+      reason: z.enum([
+        'deadline-exceeded',
+        'server-error',
+        'input-lost',
+        'cancelled',
+        'overloaded',
+      ]),
       detail: z.string(),
       retryAfterMs: z.number().optional(),
     }),
@@ -104,6 +110,9 @@
 /** Validator of a request to give an order up. @internal */
 export const cancelPiecesSchema = z.object({ poolId: poolIdSchema, orderId: z.string() });
 
+/** Validator of the news that an order's inputs were fetched. @internal */
+export const inputsFetchedSchema = z.object({ orderId: z.string() });
+
 /** Validator of a request to free results. @internal */
 export const freeResultsSchema = z.object({
   poolId: poolIdSchema,
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -26,8 +26,15 @@
  * @public
  */
 export interface PieceDispatcher {
-  /** Makes the results of a group, in the order of its pieces. */
-  run(group: PieceGroup, signal: AbortSignal): Promise<Result<readonly PieceResult[], Failure>>;
+  /**
+   * Makes the results of a group, in the order of its pieces; `onInputsFetched` is called once,
+   * maybe before that, when its replicas have fetched all inputs.
+   */
+  run(
+    group: PieceGroup,
+    signal: AbortSignal,
+    onInputsFetched?: () => void,
+  ): Promise<Result<readonly PieceResult[], Failure>>;
   /** Gives up results that nobody needs any more. */
   free(results: readonly PieceResult[]): void;
   update(capacity: StageCapacity, servers: readonly ListedServer[]): void;
--- a/packages/relay/src/lib/pieces/QueuedGroup.ts
+++ b/packages/relay/src/lib/pieces/QueuedGroup.ts
@@ -11,6 +11,10 @@
   readonly results: (PieceResult | undefined)[];
   missing: number;
   isEnded: boolean;
+  /** Pieces whose replicas have fetched their inputs. */
+  readonly fetched: Set<number>;
+  /** Called once, when all pieces' inputs were fetched. */
+  readonly noteInputsFetched: () => void;
   readonly settle: (result: Result<readonly PieceResult[], Failure>) => void;
 }
 
@@ -20,6 +24,7 @@
  * @param group - the group
  * @param arrivedAt - monotonic time, in milliseconds
  * @param settle - told once how the group ended
+ * @param noteInputsFetched - told once when all inputs were fetched
  * @returns the entry
  * @internal
  */
@@ -27,6 +32,7 @@
   group: PieceGroup,
   arrivedAt: number,
   settle: QueuedGroup['settle'],
+  noteInputsFetched: () => void,
 ): QueuedGroup {
   return {
     group,
@@ -36,6 +42,8 @@
     results: Array.from({ length: group.pieceCount }, () => undefined),
     missing: group.pieceCount,
     isEnded: false,
+    fetched: new Set(),
+    noteInputsFetched,
     settle,
   };
 }
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -71,6 +71,7 @@
     name: string,
     change: Partial<PieceGroup> = {},
     signal = new AbortController().signal,
+    onInputsFetched?: () => void,
   ) {
     return dispatcher.run(
       {
@@ -91,6 +92,7 @@
         ...change,
       },
       signal,
+      onInputsFetched,
     );
   }
   const answerAll = (call: SentCall | undefined) =>
@@ -226,3 +228,28 @@
   await clock.advance(500);
   assert.ok(calls.slice(2).some(({ pieces }) => pieces.some((piece) => piece.requestId === 'r1')));
 });
+
+test('results kept their room until the stage that reads them was done', async () => {
+  const { clock, dispatcher, calls, run, answerAll } = createWorld();
+  dispatcher.update(capacity, [createServer('one')]);
+  let fetched = 0;
+  void run('r1', { pieceCount: 12 }, undefined, () => (fetched += 1));
+  await clock.advance(200);
+  assert.equal(fetched, 0, 'two pieces wait for the next call');
+  answerAll(calls[0]);
+  await clock.advance(200);
+  assert.equal(fetched, 1);
+  answerAll(calls[1]);
+  await clock.advance(1_000);
+  assert.equal(fetched, 1);
+});
+
+test('a replica that was lost at once has fetched nothing', async () => {
+  const { clock, dispatcher, calls, run } = createWorld();
+  dispatcher.update(capacity, [createServer('one')]);
+  let fetched = 0;
+  void run('r1', {}, undefined, () => (fetched += 1));
+  calls[0]?.answer({ kind: 'failed', detail: 'connection refused' });
+  await clock.advance(150);
+  assert.equal(fetched, 0);
+});
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -23,9 +23,20 @@
 const CALL_PATIENCE = 3;
 /** Shortest time after which a call is given up, in milliseconds. */
 const MIN_CALL_TIMEOUT_MS = 900;
+/**
+ * A replica that began a call has fetched its inputs after so long, in milliseconds: they are a few
+ * megabytes, over links of gigabits. If it had not, the request's stages run again.
+ */
+const FETCH_MS = 120;
 /** Time to look again when replicas rest or have no room, in milliseconds. */
 const LOOK_AGAIN_MS = 30;
 
+/** One piece of a call. */
+interface CallSlot {
+  readonly entry: QueuedGroup;
+  readonly pieceIndex: number;
+}
+
 /**
  * Creates the dispatcher of one pool.
  *
@@ -138,7 +149,7 @@
     parts: readonly BatchPart<QueuedGroup>[],
     { callMs, pieceMs, resultTtlMs, ...rest }: StageCapacity,
   ): Promise<void> {
-    const slots = parts.flatMap((part) =>
+    const slots: readonly CallSlot[] = parts.flatMap((part) =>
       part.pieces.map((pieceIndex) => ({ entry: part.waiting, pieceIndex })),
     );
     for (const part of parts) {
@@ -155,6 +166,7 @@
     );
     const startedAt = clock.now();
     replica.startCall(bytes);
+    const cancelFetched = clock.schedule(FETCH_MS, () => noteFetched(slots));
     const answer = await options.sendPieces(
       replica.server(),
       slots.map(({ entry: { group }, pieceIndex }) => ({
@@ -168,6 +180,7 @@
       timeoutMs,
     );
     replica.endCall(bytes);
+    cancelFetched();
     const measuredMs = clock.now() - startedAt;
     logger.info('a call of pieces ended', {
       requestIds: parts.map(({ waiting }) => waiting.group.requestId),
@@ -200,6 +213,15 @@
     look();
   }
 
+  /** Notes pieces whose inputs their replica does not need any more. */
+  function noteFetched(slots: readonly CallSlot[]): void {
+    for (const { entry, pieceIndex } of slots) {
+      if (entry.isEnded || entry.fetched.has(pieceIndex)) continue;
+      entry.fetched.add(pieceIndex);
+      if (entry.fetched.size === entry.group.pieceCount) entry.noteInputsFetched();
+    }
+  }
+
   function takeResult(
     replica: ReplicaState,
     entry: QueuedGroup,
@@ -222,6 +244,7 @@
   /** Lets a piece wait again; one that a replica refused to start may go as often as needed. */
   function requeue(entry: QueuedGroup, pieceIndex: number, wasRefused: boolean): void {
     if (entry.isEnded) return;
+    entry.fetched.delete(pieceIndex);
     if (wasRefused) entry.calls[pieceIndex] = (entry.calls[pieceIndex] ?? 1) - 1;
     const mayRun =
       wasRefused || ((entry.calls[pieceIndex] ?? 0) < MAX_PIECE_CALLS && options.mayRepeat());
@@ -239,7 +262,7 @@
     late: (_replica, entry) =>
       end(entry, err(createRefusal('deadline-exceeded', `a piece came too late to ${poolId}`))),
     'input-gone': (_replica, entry) =>
-      end(entry, err(createRefusal('server-error', `an input of ${poolId} is gone`))),
+      end(entry, err(createRefusal('input-lost', `an input of ${poolId} is gone`))),
     'no-room': (replica, entry, pieceIndex) => {
       replica.recordFull();
       requeue(entry, pieceIndex, true);
@@ -267,7 +290,7 @@
   };
 
   return {
-    run(group, signal) {
+    run(group, signal, onInputsFetched = () => undefined) {
       return new Promise((resolve) => {
         if (signal.aborted) {
           resolve(err(createRefusal('cancelled', 'the request was given up')));
@@ -278,10 +301,15 @@
           resolve(err(refusal));
           return;
         }
-        const entry = createQueuedGroup(group, clock.now(), (result) => {
-          signal.removeEventListener('abort', cancel);
-          resolve(result);
-        });
+        const entry = createQueuedGroup(
+          group,
+          clock.now(),
+          (result) => {
+            signal.removeEventListener('abort', cancel);
+            resolve(result);
+          },
+          onInputsFetched,
+        );
         const cancel = () =>
           end(entry, err(createRefusal('cancelled', 'the request was given up')));
         signal.addEventListener('abort', cancel, { once: true });
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -74,6 +74,8 @@
   readonly isRefusal: boolean;
   /** Another server has this address now. */
   readonly isMisdirected: boolean;
+  /** A result that the request reads is gone, so the request was not run. */
+  readonly isInputLost: boolean;
   /** The answer is signed by the server that made it. */
   readonly isSigned: boolean;
   /** The request that the answer names; undefined when it names none. */
--- a/packages/relay/src/lib/readAttempt.test.ts
+++ b/packages/relay/src/lib/readAttempt.test.ts
@@ -9,6 +9,7 @@
 const sound: AnswerFacts = {
   isRefusal: false,
   isMisdirected: false,
+  isInputLost: false,
   isSigned: true,
   requestId: 'r1',
   load: undefined,
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -98,6 +98,12 @@
       if (!isFirst) inputs.push(...result.value.map((made) => ({ ...made, bytes })));
     }
     const inputsExpireAt = isFirst ? Infinity : run.clock.now() + findKeptMs(run, stage.after);
+    let isFetched = false;
+    const noteFetched = () => {
+      if (isFetched) return;
+      isFetched = true;
+      for (const earlier of stage.after) noteRead(earlier);
+    };
     const result = await client.run(
       stage.poolId,
       {
@@ -117,8 +123,9 @@
         targetEndAt: run.targetAt - (tails[index] ?? 0),
       },
       signal,
+      noteFetched,
     );
-    for (const earlier of stage.after) noteRead(earlier);
+    noteFetched();
     return result;
   }
 
