--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -10,25 +10,21 @@
 } from '@endiveferry/base';
 import { createRetryBudget, type RetryBudget } from '@endiveferry/admission';
 import type { Logger, Metrics } from '@endiveferry/telemetry';
-import { err, ok, type Result } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import { admitCall, type Admitted } from './admitCall.js';
 import { chooseEngine, choosePlainServer } from './chooseBackend.js';
 import type { Backends } from './createBackends.js';
 import type { Beliefs } from './createBeliefs.js';
+import { createInputPreparer } from './createInputPreparer.js';
 import { createPromptCache } from './createPromptCache.js';
 import type { StageClient } from './createStageClient.js';
 import { forwardCall } from './forwardCall.js';
-import type { ForwardOutcome, ForwardRequest, RenewedInputs } from './ForwardRequest.js';
+import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
 import type { CallFacts, HostPlace, RawCall, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
-import { runStages, type StagesOutput } from './runStages.js';
 import { spreadRetry } from './spreadRetry.js';
 
-/** Time to the first event that is assumed before any was measured, in milliseconds. */
-const FIRST_EVENT_MS = 200;
-/** Weight of the newest stream in the expected time to the first event. */
-const FIRST_EVENT_WEIGHT = 0.1;
 /** Part of the fleet-wide repeats that is planned with; the fleet is never seen exactly. */
 const BUDGET_SHARE = 0.7;
 /** What requests without a key are accounted to. */
@@ -77,7 +73,7 @@
   const { place, clock, random, logger, metrics, protocol, beliefs, backends } = options;
   const promptCache = createPromptCache();
   const budgets = new Map<PoolId, RetryBudget>();
-  let firstEventMs = FIRST_EVENT_MS;
+  const inputs = createInputPreparer(options);
   let active = 0;
 
   function findBudget(poolId: PoolId): RetryBudget {
@@ -91,66 +87,6 @@
     return budget;
   }
 
-  /** Refuses at once what cannot get its first event in time. */
-  function checkDoor(admitted: Admitted): Failure | undefined {
-    const { route, facts, endAt } = admitted;
-    const pools = new Set(
-      route.stages.flatMap(({ poolId }, index) =>
-        (facts.pieceCounts[index] ?? 0) > 0 ? [poolId] : [],
-      ),
-    );
-    const waitMs = [...pools].reduce(
-      (sum, poolId) => sum + options.estimateWaitMs(poolId, admitted.rank),
-      0,
-    );
-    if (clock.now() + waitMs + firstEventMs < endAt) return undefined;
-    return createRefusal('overloaded', 'the stages cannot be done in time', waitMs / 2);
-  }
-
-  async function prepareInputs(
-    admitted: Admitted,
-    signal: AbortSignal,
-  ): Promise<Result<StagesOutput | undefined, Failure>> {
-    const { route, facts } = admitted;
-    if (route.stages.length === 0) return ok(undefined);
-    const refusal = checkDoor(admitted);
-    if (refusal !== undefined) return err(refusal);
-    const first = await runStagesOnce(admitted, signal);
-    // A result died with the replica that made it, or was given up before its reader was done.
-    const wasLost = first.isErr() && first.error.reason === 'input-lost';
-    if (!wasLost || signal.aborted) return first;
-    logger.info('the stages of a request run again', {
-      requestId: facts.requestId,
-      detail: first.error.detail,
-      remainingMs: Math.round(admitted.endAt - clock.now()),
-    });
-    return runStagesOnce(admitted, signal);
-  }
-
-  function runStagesOnce(
-    admitted: Admitted,
-    signal: AbortSignal,
-  ): Promise<Result<StagesOutput, Failure>> {
-    const { route, facts, inForce } = admitted;
-    return runStages(
-      {
-        requestId: facts.requestId,
-        route,
-        rank: admitted.rank,
-        pieceCounts: facts.pieceCounts,
-        pieceKey: facts.pieceKey,
-        pools: inForce.configuration.pools,
-        endAt: admitted.endAt - firstEventMs,
-        targetAt: admitted.arrivedAt + route.targetLatencyMs,
-        firstEventMs,
-        signal,
-        clock,
-        findZone: (serverId) => backends.find(serverId)?.server.availabilityZone,
-      },
-      options.stages,
-    );
-  }
-
   function choose(request: ForwardRequest, tried: ReadonlySet<BackendServerId>) {
     const choice = {
       candidates: backends.listPool(request.poolId),
@@ -179,32 +115,33 @@
     return { backend, promptTokens };
   }
 
-  function describeInputs(output: StagesOutput | undefined): RenewedInputs {
-    const inputBytes = (output?.results ?? []).flatMap(({ serverId, bytes }) => {
-      const availabilityZone = backends.find(serverId)?.server.availabilityZone;
-      return availabilityZone === undefined ? [] : [{ availabilityZone, bytes }];
-    });
-    return { inputs: output?.results.map(({ handle }) => handle), inputBytes };
-  }
-
   async function serveAdmitted(
     admitted: Admitted,
     responder: Responder,
     signal: AbortSignal,
   ): Promise<ForwardOutcome> {
-    const prepared = await prepareInputs(admitted, signal);
+    const prepared = await inputs.prepare(admitted, signal);
     if (prepared.isErr()) return sendFailure(prepared.error, admitted.facts, responder);
     let output = prepared.value;
     let preparedAt = clock.now();
+    const { call, facts, route, poolId, workspace, rank, endAt, streamEndAt } = admitted;
     const renewInputs = async () => {
       output?.free();
       output = undefined;
-      const renewed = await prepareInputs(admitted, signal);
+      const renewed = await inputs.prepare(admitted, signal);
       preparedAt = clock.now();
-      output = renewed.unwrapOr(undefined);
-      return output === undefined ? undefined : describeInputs(output);
+      if (renewed.isErr()) {
+        const { reason, detail } = renewed.error;
+        logger.warn('lost inputs were not made again', {
+          requestId: facts.requestId,
+          reason,
+          detail,
+        });
+        return undefined;
+      }
+      output = renewed.value;
+      return inputs.describe(output);
     };
-    const { call, facts, route, poolId, workspace, rank, endAt, streamEndAt } = admitted;
     const outcome = await forwardCall(
       {
         call,
@@ -213,7 +150,7 @@
         poolId,
         workspaceId: workspace?.workspaceId,
         rank,
-        ...describeInputs(output),
+        ...inputs.describe(output),
         endAt,
         streamEndAt,
         signal,
@@ -233,7 +170,7 @@
     );
     output?.free();
     if (outcome.firstEventAt !== undefined) {
-      firstEventMs += FIRST_EVENT_WEIGHT * (outcome.firstEventAt - preparedAt - firstEventMs);
+      inputs.noteFirstEvent(admitted, outcome.firstEventAt - preparedAt);
     }
     return outcome;
   }
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -1,9 +1,10 @@
 import { createRefusal, type BackendServerId, type Failure } from '@endiveferry/base';
-import { err, ok, type Result } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import type { PieceFailure } from '../ports.js';
 import type { StageCapacity } from '../RelayConfiguration.js';
 import { chooseBatch, estimateCallMs, type BatchPart } from './chooseBatch.js';
+import { createGroupQueue, type CallSlot } from './createGroupQueue.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
 import type {
   PieceDispatcher,
@@ -17,8 +18,6 @@
 import { refuseLate } from './refuseLate.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
-/** Calls that one piece may be in before its request fails; a piece may be made again. */
-const MAX_PIECE_CALLS = 3;
 /** A call without an answer after this many times its expected time is given up. */
 const CALL_PATIENCE = 3;
 /** Shortest time after which a call is given up, in milliseconds. */
@@ -31,12 +30,6 @@
 /** Time to look again when replicas rest or have no room, in milliseconds. */
 const LOOK_AGAIN_MS = 30;
 
-/** One piece of a call. */
-interface CallSlot {
-  readonly entry: QueuedGroup;
-  readonly pieceIndex: number;
-}
-
 /**
  * Creates the dispatcher of one pool.
  *
@@ -47,20 +40,10 @@
 export function createPieceDispatcher(options: PieceDispatcherOptions): PieceDispatcher {
   const { poolId, clock, logger } = options;
   const replicas = createReplicaStates(clock);
-  const queue = new Set<QueuedGroup>();
+  const queue = createGroupQueue({ poolId, clock, mayRepeat: options.mayRepeat, free });
   let capacity: StageCapacity | undefined;
   let cancelLook: (() => void) | undefined;
 
-  const countWaiting = () => [...queue].reduce((sum, { pieces }) => sum + pieces.length, 0);
-
-  function end(entry: QueuedGroup, result: Result<readonly PieceResult[], Failure>): void {
-    if (entry.isEnded) return;
-    entry.isEnded = true;
-    queue.delete(entry);
-    if (result.isErr()) free(entry.results.filter((made) => made !== undefined));
-    entry.settle(result);
-  }
-
   function free(results: readonly PieceResult[]): void {
     const byServer = new Map<BackendServerId, string[]>();
     for (const { serverId, handle } of results) {
@@ -84,20 +67,10 @@
     return refuseLate(group, { now: clock.now(), soloMs, waits, estimateWaitMs });
   }
 
-  /** Ends groups whose time is over, and refuses those that nothing was done for and that are late. */
   function dropExpired(): void {
     const waits = listWaits();
     const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
-    for (const entry of queue) {
-      const refusal =
-        entry.calls.length === 0 ? findRefusal(entry.group, waits, estimateWaitMs) : undefined;
-      if (refusal !== undefined) end(entry, err(refusal));
-      if (entry.pieces.length === 0 || entry.group.endAt > clock.now()) continue;
-      end(
-        entry,
-        err(createRefusal('deadline-exceeded', `no replica of ${poolId} was free in time`)),
-      );
-    }
+    queue.dropExpired(({ group }) => findRefusal(group, waits, estimateWaitMs));
   }
 
   function findIdle(slots: number): ReplicaState[] {
@@ -109,7 +82,7 @@
 
   function listWaits(): RankWait[] {
     if (capacity === undefined) return [];
-    return computeWaits([...queue], capacity, replicas.listUsable().length);
+    return computeWaits(queue.listGroups(), capacity, replicas.listUsable().length);
   }
 
   function look(): void {
@@ -117,7 +90,7 @@
     dropExpired();
     const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
     for (const replica of findIdle(capacity.slots)) {
-      const waiting = [...queue].filter(({ pieces }) => pieces.length > 0);
+      const waiting = queue.listWaiting();
       if (waiting.length === 0) return;
       const parts = chooseBatch({
         waiting,
@@ -134,7 +107,7 @@
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
     }
-    if (countWaiting() > 0) scheduleLook();
+    if (queue.countWaiting() > 0) scheduleLook();
   }
 
   function scheduleLook(): void {
@@ -149,15 +122,7 @@
     parts: readonly BatchPart<QueuedGroup>[],
     { callMs, pieceMs, resultTtlMs, ...rest }: StageCapacity,
   ): Promise<void> {
-    const slots: readonly CallSlot[] = parts.flatMap((part) =>
-      part.pieces.map((pieceIndex) => ({ entry: part.waiting, pieceIndex })),
-    );
-    for (const part of parts) {
-      const entry = part.waiting;
-      const taken = new Set(part.pieces);
-      entry.pieces = entry.pieces.filter((piece) => !taken.has(piece));
-      for (const piece of part.pieces) entry.calls[piece] = (entry.calls[piece] ?? 0) + 1;
-    }
+    const slots = queue.takePieces(parts);
     const bytes = slots.reduce((sum, { entry }) => sum + entry.group.resultBytes, 0);
     const expectedMs = estimateCallMs({ callMs, pieceMs, resultTtlMs, ...rest }, slots.length, 1);
     const timeoutMs = Math.max(
@@ -166,7 +131,7 @@
     );
     const startedAt = clock.now();
     replica.startCall(bytes);
-    const cancelFetched = clock.schedule(FETCH_MS, () => noteFetched(slots));
+    const cancelFetched = clock.schedule(FETCH_MS, () => queue.noteFetched(slots));
     const answer = await options.sendPieces(
       replica.server(),
       slots.map(({ entry: { group }, pieceIndex }) => ({
@@ -187,7 +152,7 @@
       pool: poolId,
       backendServer: replica.server().serverId,
       pieces: slots.length,
-      waiting: countWaiting(),
+      waiting: queue.countWaiting(),
       slowness: Number(replica.slowness().toFixed(2)),
       freeBytes: replica.freeBytes({ callMs, pieceMs, resultTtlMs, ...rest }),
       measuredMs: Math.round(measuredMs),
@@ -196,78 +161,40 @@
     });
     if (answer.kind === 'answered') {
       replica.recordSuccess(measuredMs, expectedMs);
-      slots.forEach(({ entry, pieceIndex }, index) => {
+      slots.forEach((slot, index) => {
         const outcome = answer.outcomes[index];
-        if (outcome?.kind === 'made') {
-          takeResult(replica, entry, pieceIndex, outcome.handle, resultTtlMs);
-        } else {
-          pieceFailureHandlers[outcome?.reason ?? 'error'](replica, entry, pieceIndex);
-        }
+        if (outcome?.kind === 'made') takeResult(replica, slot, outcome.handle, resultTtlMs);
+        else pieceFailureHandlers[outcome?.reason ?? 'error'](replica, slot);
       });
     } else {
       callFailureHandlers[answer.kind](replica, answer);
-      for (const { entry, pieceIndex } of slots) {
-        requeue(entry, pieceIndex, answer.kind !== 'failed');
-      }
+      for (const slot of slots) queue.requeue(slot, answer.kind !== 'failed');
     }
     look();
   }
 
-  /** Notes pieces whose inputs their replica does not need any more. */
-  function noteFetched(slots: readonly CallSlot[]): void {
-    for (const { entry, pieceIndex } of slots) {
-      if (entry.isEnded || entry.fetched.has(pieceIndex)) continue;
-      entry.fetched.add(pieceIndex);
-      if (entry.fetched.size === entry.group.pieceCount) entry.noteInputsFetched();
-    }
-  }
-
-  function takeResult(
-    replica: ReplicaState,
-    entry: QueuedGroup,
-    pieceIndex: number,
-    handle: string,
-    ttlMs: number,
-  ): void {
+  function takeResult(replica: ReplicaState, slot: CallSlot, handle: string, ttlMs: number): void {
     const result = { serverId: replica.server().serverId, handle };
-    replica.addResult(handle, entry.group.resultBytes, ttlMs);
-    if (entry.isEnded || entry.results[pieceIndex] !== undefined) {
-      free([result]);
-      return;
-    }
-    entry.results[pieceIndex] = result;
-    entry.missing -= 1;
-    if (entry.missing > 0) return;
-    end(entry, ok(entry.results.filter((made) => made !== undefined)));
-  }
-
-  /** Lets a piece wait again; one that a replica refused to start may go as often as needed. */
-  function requeue(entry: QueuedGroup, pieceIndex: number, wasRefused: boolean): void {
-    if (entry.isEnded) return;
-    entry.fetched.delete(pieceIndex);
-    if (wasRefused) entry.calls[pieceIndex] = (entry.calls[pieceIndex] ?? 1) - 1;
-    const mayRun =
-      wasRefused || ((entry.calls[pieceIndex] ?? 0) < MAX_PIECE_CALLS && options.mayRepeat());
-    if (mayRun) {
-      entry.pieces.push(pieceIndex);
-      return;
-    }
-    end(entry, err(createRefusal('server-error', `replicas of ${poolId} made no result`)));
+    replica.addResult(handle, slot.entry.group.resultBytes, ttlMs);
+    if (!queue.takeResult(slot, result)) free([result]);
   }
 
   const pieceFailureHandlers: Record<
     PieceFailure,
-    (replica: ReplicaState, entry: QueuedGroup, pieceIndex: number) => void
+    (replica: ReplicaState, slot: CallSlot) => void
   > = {
-    late: (_replica, entry) =>
-      end(entry, err(createRefusal('deadline-exceeded', `a piece came too late to ${poolId}`))),
-    'input-gone': (_replica, entry) =>
-      end(entry, err(createRefusal('input-lost', `an input of ${poolId} is gone`))),
-    'no-room': (replica, entry, pieceIndex) => {
+    late: (_replica, { entry }) =>
+      queue.end(
+        entry,
+        err(createRefusal('deadline-exceeded', `a piece came too late to ${poolId}`)),
+      ),
+    'input-gone': (_replica, { entry }) =>
+      queue.end(entry, err(createRefusal('input-lost', `an input of ${poolId} is gone`))),
+    'no-room': (replica, slot) => {
       replica.recordFull();
-      requeue(entry, pieceIndex, true);
+      queue.requeue(slot, true);
     },
-    error: (_replica, entry, pieceIndex) => requeue(entry, pieceIndex, false),
+    error: (_replica, slot) => queue.requeue(slot, false),
   };
 
   const callFailureHandlers: Record<
@@ -311,7 +238,7 @@
           onInputsFetched,
         );
         const cancel = () =>
-          end(entry, err(createRefusal('cancelled', 'the request was given up')));
+          queue.end(entry, err(createRefusal('cancelled', 'the request was given up')));
         signal.addEventListener('abort', cancel, { once: true });
         queue.add(entry);
         look();
@@ -324,6 +251,6 @@
       look();
     },
     listWaits,
-    countWaiting,
+    countWaiting: queue.countWaiting,
   };
 }
