--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -244,6 +244,7 @@
         firstEventMs: kind.firstEventMs,
         signal: new AbortController().signal,
         clock,
+        engineZone: undefined,
         findZone: (serverId) => zones.get(serverId),
       },
       client,
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -116,11 +116,9 @@
 export function chooseEngine(choice: EngineChoice): Backend | undefined {
   const { promptParts, cache, inputs } = choice;
   const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
-  // The last part is the request's own; the one before it is the most particular that others share.
-  const sharedParts = promptParts.slice(0, -1);
+  const sharedParts = listSharedParts(promptParts);
   const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
-  const shared = sharedParts.at(-1);
-  const homeId = shared === undefined ? undefined : findHome(shared.partId, choice.candidates);
+  const homeId = findHomeEngine(promptParts, choice.candidates)?.server.serverId;
   return chooseCheapest(choice, (backend) => {
     const { serverId, availabilityZone } = backend.server;
     const isHome = serverId === homeId;
@@ -142,11 +140,31 @@
   });
 }
 
-/** All hosts find the same home, so that requests with a common part meet there. */
-function findHome(partId: string, candidates: readonly Backend[]): BackendServerId | undefined {
-  const usable = candidates.filter(
-    ({ server, maxRunning }) => !server.isLeaving && maxRunning() > 0,
+/** The last part is the request's own. */
+const listSharedParts = (promptParts: readonly PromptPart[]) => promptParts.slice(0, -1);
+
+/**
+ * Finds the engine where requests with a common part of their prompts meet; all hosts find the same.
+ *
+ * @param promptParts - the parts of a request's prompt
+ * @param candidates - the engines
+ * @returns the engine; undefined for a prompt that shares nothing, or when none may be used
+ * @public
+ */
+export function findHomeEngine(
+  promptParts: readonly PromptPart[],
+  candidates: readonly Backend[],
+): Backend | undefined {
+  // The last of the shared parts is the most particular.
+  const shared = listSharedParts(promptParts).at(-1);
+  if (shared === undefined) return undefined;
+  const usable = new Map(
+    candidates.flatMap((backend) =>
+      backend.server.isLeaving || backend.maxRunning() === 0
+        ? []
+        : [[backend.server.serverId, backend] as const],
+    ),
   );
-  const ids = usable.map(({ server }) => server.serverId);
-  return computeRendezvousOrder(partId, ids)[0];
+  const [homeId] = computeRendezvousOrder(shared.partId, [...usable.keys()]);
+  return homeId === undefined ? undefined : usable.get(homeId);
 }
--- a/packages/relay/src/lib/createInputPreparer.ts
+++ b/packages/relay/src/lib/createInputPreparer.ts
@@ -9,6 +9,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { Admitted } from './admitCall.js';
+import { findHomeEngine } from './chooseBackend.js';
 import type { Backends } from './createBackends.js';
 import type { StageClient } from './createStageClient.js';
 import type { RenewedInputs } from './ForwardRequest.js';
@@ -88,7 +89,7 @@
   }
 
   function runAll(admitted: Admitted, signal: AbortSignal): Promise<Result<StagesOutput, Failure>> {
-    const { facts, route, rank, inForce, arrivedAt, endAt } = admitted;
+    const { facts, route, poolId, rank, inForce, arrivedAt, endAt } = admitted;
     const firstEventMs = estimateFirstEventMs(admitted);
     return runStages(
       {
@@ -103,6 +104,8 @@
         firstEventMs,
         signal,
         clock,
+        engineZone: findHomeEngine(facts.promptParts, backends.listPool(poolId))?.server
+          .availabilityZone,
         findZone: (serverId) => backends.find(serverId)?.server.availabilityZone,
       },
       options.stages,
--- a/packages/relay/src/lib/createMembership.ts
+++ b/packages/relay/src/lib/createMembership.ts
@@ -124,7 +124,10 @@
     noteHeartbeat(id, heartbeat) {
       if (id === options.hostId) return;
       const host = findHost(id);
-      const { isStopping, weight } = heartbeat;
+      const { processId, isStopping, weight } = heartbeat;
+      if (host.heartbeat !== undefined && host.heartbeat.processId !== processId) {
+        logger.info('a host started again', { peer: id, process: processId });
+      }
       const now = clock.now();
       Object.assign(host, { heartbeat, isStopping, weight, heardAt: now, directAt: now });
       for (const told of heartbeat.hosts) noteTold(told);
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -66,7 +66,7 @@
   key: z.string().optional(),
   inputs: z.array(z.string()).optional(),
   homeZone: availabilityZoneIdSchema.optional(),
-  inputBytes: z.number(),
+  movedBytes: z.number(),
   isEntry: z.boolean(),
   followers: z.array(poolIdSchema),
   /** Time for which the inputs are kept, in milliseconds; absent without inputs. */
--- a/packages/relay/src/lib/pieces/WaitingGroup.ts
+++ b/packages/relay/src/lib/pieces/WaitingGroup.ts
@@ -15,10 +15,10 @@
   readonly key: string | undefined;
   /** Handles of all results that each piece needs. */
   readonly inputs: readonly string[] | undefined;
-  /** Where most of the inputs lie; undefined for stages without inputs. */
+  /** Where most of the inputs lie, or where the results will be read; undefined when it is unknown. */
   readonly homeZone: AvailabilityZoneId | undefined;
-  /** Bytes of inputs that all pieces together fetch. */
-  readonly inputBytes: number;
+  /** Bytes that cross availability zones when the pieces are made elsewhere. */
+  readonly movedBytes: number;
   /** Monotonic time until which the inputs are kept, in milliseconds. */
   readonly inputsExpireAt: number;
   /** Nothing of the request has been worked on, so it can be refused for nothing. */
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -25,6 +25,8 @@
 const BYTES_PER_MB = 1_000_000;
 /** A group that must start within this time, in milliseconds, takes any replica. */
 const HURRY_MS = 50;
+/** The same before its first stage, where nothing is known yet of the waits that come later. */
+const ENTRY_HURRY_MS = 250;
 /** Inputs that are given up sooner than this, in milliseconds, make their group go first. */
 const EXPIRY_MARGIN_MS = 1_000;
 
@@ -119,17 +121,18 @@
   return entries.map(({ entry }) => entry);
 }
 
-/** Whether a group should rather wait for a replica in the zone of its inputs. */
+/** Whether a group should rather wait for a replica near its inputs, or near the engine. */
 function isHeld<Group extends WaitingGroup>(
   { group, arrivedAt }: Group,
   choice: BatchChoice<Group>,
   latestStartAt: number,
 ): boolean {
-  const { homeZone, inputBytes } = group;
+  const { homeZone, movedBytes, isEntry } = group;
   const isAway = homeZone !== undefined && homeZone !== choice.replica.availabilityZone;
   if (!isAway || !choice.zones.has(homeZone)) return false;
-  const holdMs = Math.min(MAX_HOLD_MS, (inputBytes / BYTES_PER_MB) * HOLD_MB_MS);
-  return choice.now - arrivedAt < holdMs && latestStartAt - choice.now > HURRY_MS;
+  const holdMs = Math.min(MAX_HOLD_MS, (movedBytes / BYTES_PER_MB) * HOLD_MB_MS);
+  const hurryMs = isEntry ? ENTRY_HURRY_MS : HURRY_MS;
+  return choice.now - arrivedAt < holdMs && latestStartAt - choice.now > hurryMs;
 }
 
 /** Whether the stages that follow have more than enough to do. */
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -82,7 +82,7 @@
         key: 'key',
         inputs: undefined,
         homeZone: undefined,
-        inputBytes: 0,
+        movedBytes: 0,
         inputsExpireAt: Infinity,
         isEntry: false,
         followers: [],
@@ -221,7 +221,7 @@
   void run('r00', { targetEndAt: 300 });
   assert.equal(calls.length, 2);
   const far = calls.find(({ server }) => server.serverId === 'far');
-  void run('r1', { homeZone: zoneB, inputBytes: 2_000_000, key: undefined, inputs: ['x'] });
+  void run('r1', { homeZone: zoneB, movedBytes: 2_000_000, key: undefined, inputs: ['x'] });
   answerAll(far);
   await clock.advance(100);
   assert.ok(!calls.slice(2).some(({ pieces }) => pieces.some((piece) => piece.requestId === 'r1')));
@@ -253,3 +253,27 @@
   await clock.advance(150);
   assert.equal(fetched, 0);
 });
+
+test('large results were made in another zone than the engine that reads them', async () => {
+  const { clock, dispatcher, calls, run } = createWorld();
+  const near = createServer('near', { availabilityZone: zoneB });
+  dispatcher.update(capacity, [createServer('away'), near]);
+  void run('r0');
+  void run('r1');
+  assert.equal(calls.length, 2, 'both replicas are busy');
+  const results = { homeZone: zoneB, movedBytes: 2_000_000, resultBytes: 1_000, isEntry: true };
+  void run('r2', results);
+  void run('r3', { ...results, targetEndAt: clock.now() + 700 });
+  calls
+    .find(({ server }) => server.serverId !== near.serverId)
+    ?.answer({
+      kind: 'answered',
+      outcomes: [
+        { kind: 'made', handle: 'a' },
+        { kind: 'made', handle: 'b' },
+      ],
+    });
+  await clock.advance(300);
+  // The one that is in a hurry took the replica that is away.
+  assert.deepEqual(new Set(calls[2]?.pieces.map(({ requestId }) => requestId)), new Set(['r3']));
+});
--- a/packages/relay/src/lib/pieces/refuseLate.test.ts
+++ b/packages/relay/src/lib/pieces/refuseLate.test.ts
@@ -15,7 +15,7 @@
   key: 'key',
   inputs: undefined,
   homeZone: undefined,
-  inputBytes: 0,
+  movedBytes: 0,
   inputsExpireAt: Infinity,
   isEntry: true,
   followers: [follower],
--- a/packages/relay/src/lib/runStages.ts
+++ b/packages/relay/src/lib/runStages.ts
@@ -30,6 +30,8 @@
   readonly firstEventMs: number;
   readonly signal: AbortSignal;
   readonly clock: Clock;
+  /** Where the engine stands that will most likely read the results. */
+  readonly engineZone: AvailabilityZoneId | undefined;
   /** Where a replica stands. */
   readonly findZone: (serverId: BackendServerId) => AvailabilityZoneId | undefined;
 }
@@ -113,8 +115,8 @@
         rank: run.rank,
         key: isFirst ? run.pieceKey : undefined,
         inputs: isFirst ? undefined : inputs.map(({ handle }) => handle),
-        homeZone: findHomeZone(inputs, run.findZone),
-        inputBytes: pieceCount * inputs.reduce((sum, { bytes }) => sum + bytes, 0),
+        homeZone: isFirst ? run.engineZone : findHomeZone(inputs, run.findZone),
+        movedBytes: pieceCount * (isFirst ? stage.resultBytes : sumBytes(inputs)),
         inputsExpireAt,
         isEntry: isFirst && (isRead(index) || index === chainEnd),
         followers: listFollowers(route, pieceCounts, index),
@@ -190,6 +192,9 @@
   return Math.min(Infinity, ...times);
 }
 
+const sumBytes = (results: readonly SizedResult[]) =>
+  results.reduce((sum, { bytes }) => sum + bytes, 0);
+
 /** Finds the zone that holds most bytes. */
 function findHomeZone(
   inputs: readonly SizedResult[],
