--- a/apps/bench/src/lib/runStart.ts
+++ b/apps/bench/src/lib/runStart.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 
 import { describeError } from '@endiveferry/base';
+import { startExample, type PlatformExample } from '@endiveferry/platform';
 import { setLogWriter } from '@endiveferry/telemetry';
 
 import { createFleet } from './createFleet.js';
@@ -46,6 +47,31 @@
 `;
 }
 
+function buildPlatformUsage({ callersAddress, metricsAddress, calls }: PlatformExample): string {
+  const lines = calls.map(({ method, path, headers }) => {
+    const options = Object.entries(headers).map(([name, value]) => `-H '${name}: ${value}'`);
+    return `  curl -sN -X ${method} http://${callersAddress}${path} ${options.join(' ')}`;
+  });
+  return `endiveferry is running on stand-ins of its users' platform.
+  callers  http://${callersAddress}
+  metrics  http://${metricsAddress}/metrics
+
+Try a plain service, and a stream whose stages run first:
+${lines.join('\n')}
+
+Stop it with Ctrl-C.
+`;
+}
+
+/** Runs one host on stand-ins of the users' platform, until it is told to stop. */
+async function runPlatformExample(port: number): Promise<void> {
+  const example = await startExample(port);
+  process.stdout.write(buildPlatformUsage(example));
+  const stop = () => void example.stop().then(() => process.exit(0));
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
+}
+
 /**
  * Runs one daemon with an example before stand-ins, until it is told to stop.
  *
@@ -57,6 +83,7 @@
     args: [...args],
     options: {
       example: { type: 'string', default: 'urdimbre' },
+      platform: { type: 'boolean', default: false },
       port: { type: 'string', default: '8080' },
       'operators-port': { type: 'string', default: '8081' },
     },
@@ -69,6 +96,10 @@
   }
   setLogWriter((line) => process.stderr.write(`${line}\n`));
   try {
+    if (values.platform) {
+      await runPlatformExample(Number(values.port));
+      return;
+    }
     const fleet = await createFleet({
       source: new URL(`../../../../examples/${name}`, import.meta.url).pathname,
       seed: SEED,
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -6,10 +6,10 @@
   type PeerConnection,
   type PeerFailure,
 } from './lib/createPeerConnection.js';
+export type { LinkState } from './lib/createLinkMachine.js';
 export type { HandleHostRequest } from './lib/createPeerListener.js';
 export {
   createPeerNetwork,
-  type LinkState,
   type LinkStatus,
   type PeerNetwork,
   type PeerNetworkOptions,
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -1,5 +1,4 @@
 import {
-  createStateMachine,
   describeError,
   NO_LONGER_NEEDED,
   waitFor,
@@ -13,6 +12,7 @@
 import type { Logger } from '@endiveferry/telemetry';
 import { err, type Result } from 'neverthrow';
 
+import { createLinkMachine, type LinkMachine, type LinkState } from './createLinkMachine.js';
 import {
   createPeerConnection,
   type PeerConnection,
@@ -23,6 +23,7 @@
   type HandleHostRequest,
   type PeerListener,
 } from './createPeerListener.js';
+import { createSpareConnections } from './createSpareConnections.js';
 import { PROTOCOL_VERSION, type HeartbeatCodec, type PeerRequestKind } from './messages.js';
 import { openPeerSocket, type TlsKeys } from './openPeerSocket.js';
 
@@ -34,11 +35,6 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 2_000;
-/** A connection that was opened for one request is kept this long for the next. */
-const SPARE_CONNECTION_MS = 30_000;
-
-/** State of the link to another host. @public */
-export type LinkState = 'connecting' | 'up' | 'suspect' | 'down';
 
 /**
  * What operators see of a link.
@@ -116,7 +112,7 @@
 
 interface Link<Beat> {
   readonly hostId: HostId;
-  readonly machine: ReturnType<typeof createLinkMachine>;
+  readonly machine: LinkMachine;
   connection: PeerConnection | undefined;
   lastHeartbeat: Beat | undefined;
   lastHeardAt: number | undefined;
@@ -125,19 +121,6 @@
   stop: () => Promise<void>;
 }
 
-function createLinkMachine(onChange: (state: LinkState, previous: LinkState) => void) {
-  return createStateMachine<LinkState, 'opened' | 'answered' | 'missed' | 'closed' | 'retried'>(
-    'connecting',
-    {
-      connecting: { opened: 'up', closed: 'down' },
-      up: { missed: 'suspect', closed: 'down' },
-      suspect: { answered: 'up', closed: 'down' },
-      down: { retried: 'connecting' },
-    },
-    onChange,
-  );
-}
-
 /**
  * Starts listening for other hosts; links are opened by {@link PeerNetwork.setPeers}.
  *
@@ -152,7 +135,7 @@
   const { clock, random, logger, supervisor, codec } = options;
   const findHeartbeatIntervalMs = options.findHeartbeatIntervalMs ?? (() => HEARTBEAT_INTERVAL_MS);
   const links = new Map<HostId, Link<Beat>>();
-  const spares = new Map<HostId, Promise<PeerConnection>>();
+  const spares = createSpareConnections(clock, openConnection);
   let closedBytes = 0;
 
   function receiveHeartbeat(hostId: HostId, body: unknown): void {
@@ -268,25 +251,6 @@
     link.stop = supervisor.spawn(`link-${hostId}`, (signal) => runLink(link, signal));
   }
 
-  /** Finds or opens a connection for a single request. */
-  function findSpare(hostId: HostId): Promise<PeerConnection> {
-    const known = spares.get(hostId);
-    if (known !== undefined) return known;
-    const opening = openConnection(hostId);
-    spares.set(hostId, opening);
-    const forget = () => {
-      if (spares.get(hostId) === opening) spares.delete(hostId);
-    };
-    opening.then((connection) => {
-      const cancelEnd = clock.schedule(SPARE_CONNECTION_MS, () => connection.destroy());
-      void connection.closed.then(() => {
-        cancelEnd();
-        forget();
-      });
-    }, forget);
-    return opening;
-  }
-
   const listener: PeerListener = await startPeerListener({ ...options, handleRequest });
 
   return {
@@ -309,7 +273,7 @@
         return link.connection.request(kind, body, timeoutMs);
       }
       try {
-        const connection = await findSpare(hostId);
+        const connection = await spares.find(hostId);
         return await connection.request(kind, body, timeoutMs);
       } catch (error) {
         return err({ kind: 'not-sent', detail: describeError(error) });
@@ -341,12 +305,7 @@
         await stopped;
       }
       links.clear();
-      for (const spare of spares.values()) {
-        spare.then(
-          (connection) => connection.destroy(),
-          () => undefined,
-        );
-      }
+      spares.close();
       await listener.close();
     },
   };
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -25,8 +25,11 @@
 const BYTES_PER_MB = 1_000_000;
 /** A group that must start within this time, in milliseconds, takes any replica. */
 const HURRY_MS = 50;
-/** The same before its first stage, where nothing is known yet of the waits that come later. */
-const ENTRY_HURRY_MS = 250;
+/**
+ * The same before its first stage, where nothing is known yet of the waits that come later: only
+ * requests whose targets are seconds away wait for a replica near their engine.
+ */
+const ENTRY_HURRY_MS = 800;
 /** Inputs that are given up sooner than this, in milliseconds, make their group go first. */
 const EXPIRY_MARGIN_MS = 1_000;
 
@@ -56,6 +59,8 @@
   readonly now: number;
   /** Availability zones with replicas in use. */
   readonly zones: ReadonlySet<AvailabilityZoneId>;
+  /** Availability zones of other replicas that could take a call at this moment, and are asked next. */
+  readonly idleZones: ReadonlySet<AvailabilityZoneId>;
   /** Time that work of a rank waits at the pool of a following stage, in milliseconds; Infinity for all. */
   readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
 }
@@ -130,6 +135,7 @@
   const { homeZone, movedBytes, isEntry } = group;
   const isAway = homeZone !== undefined && homeZone !== choice.replica.availabilityZone;
   if (!isAway || !choice.zones.has(homeZone)) return false;
+  if (choice.idleZones.has(homeZone)) return true;
   const holdMs = Math.min(MAX_HOLD_MS, (movedBytes / BYTES_PER_MB) * HOLD_MB_MS);
   const hurryMs = isEntry ? ENTRY_HURRY_MS : HURRY_MS;
   return choice.now - arrivedAt < holdMs && latestStartAt - choice.now > hurryMs;
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -89,7 +89,8 @@
     if (capacity === undefined) return;
     dropExpired();
     const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
-    for (const replica of findIdle(capacity.slots)) {
+    const idle = findIdle(capacity.slots);
+    for (const [index, replica] of idle.entries()) {
       const waiting = queue.listWaiting();
       if (waiting.length === 0) return;
       const parts = chooseBatch({
@@ -103,6 +104,7 @@
         replicaCount: replicas.list().length,
         now: clock.now(),
         zones: new Set(replicas.listUsable().map((state) => state.server().availabilityZone)),
+        idleZones: new Set(idle.slice(index + 1).map((state) => state.server().availabilityZone)),
         estimateWaitMs,
       });
       if (parts.length > 0) void runCall(replica, parts, capacity);
