Take an answer that ends with a reset for cut, also when the reset comes with its data

Data and reset arrived together, which the runtime tells as an ordinary end, so the answer looked whole. A connection that was reset has no peer any more; that is asked at the end of each. A reset that comes after the data was told as an error before, and was handled.

Ruled out: a reset after a pause (handled before, a test shows it); an end by the replica itself (stays whole; test).

--- a/apps/cli/src/lib/explainLog.ts
+++ b/apps/cli/src/lib/explainLog.ts
@@ -48,14 +48,14 @@
     if (context === undefined || typeof message !== 'string' || typeof time !== 'number') {
       return undefined;
     }
-    return { time, host: showValue(context.host), message, context };
+    return { time, host: formatValue(context.host), message, context };
   } catch {
     // Other programs' lines may begin with a brace, too.
     return undefined;
   }
 }
 
-const showValue = (value: unknown) => (typeof value === 'string' ? value : JSON.stringify(value));
+const formatValue = (value: unknown) => (typeof value === 'string' ? value : JSON.stringify(value));
 
 const listNames = (value: unknown): readonly string[] =>
   [value].flat().filter((name) => typeof name === 'string');
@@ -71,10 +71,10 @@
   if (end === undefined) return 'no host logged its end: it was held by a host that was lost';
   const { status, reason, execution, detail, durationMs } = end.context;
   const answered =
-    status === undefined ? 'answered without a status' : `answered ${showValue(status)}`;
-  const took = durationMs === undefined ? '' : ` after ${showValue(durationMs)} ms`;
-  const why = reason === undefined ? '' : `: ${showValue(reason)}, ${showValue(detail)}`;
-  const ran = execution === undefined ? '' : ` (${showValue(execution)})`;
+    status === undefined ? 'answered without a status' : `answered ${formatValue(status)}`;
+  const took = durationMs === undefined ? '' : ` after ${formatValue(durationMs)} ms`;
+  const why = reason === undefined ? '' : `: ${formatValue(reason)}, ${formatValue(detail)}`;
+  const ran = execution === undefined ? '' : ` (${formatValue(execution)})`;
   return `${end.host} ${answered}${took}${why}${ran}`;
 }
 
@@ -115,7 +115,7 @@
 function formatLine(line: LogLine, startedAt: number): string {
   const fields = Object.entries(line.context)
     .filter(([name]) => !HIDDEN_FIELDS.has(name))
-    .map(([name, value]) => `${name}=${showValue(value)}`);
+    .map(([name, value]) => `${name}=${formatValue(value)}`);
   return `${String(line.time - startedAt).padStart(7)} ms  ${line.host}  ${line.message}  ${fields.join(' ')}`;
 }
 
--- a/apps/daemon/src/index.ts
+++ b/apps/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The daemon: one a host, all equal. */
 export type { HostStatus, PeerStatus, PoolStatus } from './lib/buildStatus.js';
-export { createDaemon, type Daemon, type DaemonOptions } from './lib/createDaemon.js';
+export { createDaemon } from './lib/createDaemon.js';
+export type { Daemon, DaemonOptions } from './lib/Daemon.js';
 export type { DaemonState } from './lib/createLifecycle.js';
 export { runProcess } from './lib/runProcess.js';
 export {
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -10,9 +10,7 @@
   processIdSchema,
   waitFor,
   type BackendServerId,
-  type Clock,
   type HostId,
-  type ProcessId,
 } from '@endiveferry/base';
 import { createFleetDemand, createWorkspaceLimiter } from '@endiveferry/admission';
 import { createClaims } from '@endiveferry/claims';
@@ -24,23 +22,24 @@
   type Heartbeat,
   type PeerNetwork,
 } from '@endiveferry/peers';
-import { createOrderKeeper } from '@endiveferry/orders';
 import { createPipelineRunner, createPoolSet } from '@endiveferry/pipeline';
-import { isLoopback, type ProcessSettings } from '@endiveferry/settings';
+import { isLoopback } from '@endiveferry/settings';
 import { createLogger, createMetrics, createTraceStore } from '@endiveferry/telemetry';
 
 import { buildDemand, buildHeartbeat } from './buildHeartbeat.js';
-import { buildStatus, type HostStatus } from './buildStatus.js';
+import { buildStatus } from './buildStatus.js';
 import { createCallersListener } from './createCallersListener.js';
 import { createControlState } from './createControlState.js';
-import { createLifecycle, type DaemonState } from './createLifecycle.js';
+import { createLifecycle } from './createLifecycle.js';
 import { createOperatorsListener } from './createOperatorsListener.js';
 import { createPeerHandlers } from './createPeerHandlers.js';
 import { createRequestService } from './createRequestService.js';
 import { createSuccessorTable } from './createSuccessorTable.js';
+import type { Daemon, DaemonOptions } from './Daemon.js';
 import { readTlsKeys } from './readTlsKeys.js';
 import { registerGauges } from './registerGauges.js';
 import { startConfigurationSource } from './startConfigurationSource.js';
+import { startOrderKeeper } from './startOrderKeeper.js';
 
 const DEFAULT_READINESS_GRACE_MS = 3_000;
 const READY_POLL_MS = 20;
@@ -49,45 +48,6 @@
 /** Shortest time for which a forwarded request's outcome is waited for. */
 const MIN_FORWARD_TIMEOUT_MS = 50;
 
-/**
- * Options of a daemon; all but the settings are for tests and trials.
- *
- * @public
- */
-export interface DaemonOptions {
-  readonly settings: ProcessSettings;
-  readonly clock?: Clock;
-  readonly seed?: number;
-  /** Time for the balancer to notice that the host is not ready, in milliseconds. */
-  readonly readinessGraceMs?: number;
-}
-
-/**
- * A running daemon.
- *
- * @public
- */
-export interface Daemon {
-  readonly hostId: HostId;
-  readonly processId: ProcessId;
-  /** The addresses in use. */
-  readonly addresses: {
-    readonly callers: string;
-    readonly peers: string;
-    readonly operators: string;
-  };
-  readonly state: () => DaemonState;
-  readonly status: () => HostStatus;
-  /** Resolves when a configuration is in force and requests are taken. */
-  waitUntilReady(): Promise<void>;
-  /** Stops gracefully: no request in progress is cut off. Further calls wait for the same end. */
-  drain(): Promise<void>;
-  /** Stops at once, as a crash would. */
-  kill(): Promise<void>;
-  /** Reads TLS files, and a local configuration folder, again. */
-  reload(): Promise<void>;
-}
-
 /**
  * Starts a daemon.
  *
@@ -291,22 +251,8 @@
     await operators.close();
   }
 
-  createOrderKeeper({
-    clock,
-    logger,
-    supervisor: supervisor.createChild('orders'),
-    view: claims.view,
-    findFencingNumber: control.hostListRevision,
-    findConfiguration: control.configuration,
-    countHosts: () => control.listHosts().size,
-    findReportedModels: (poolId, serverId) =>
-      pools.findPool(poolId)?.router.findReportedModels(serverId),
-    async send(poolId, serverId, order, maySend, timeoutMs) {
-      const signal = AbortSignal.timeout(timeoutMs);
-      const call = { method: 'POST', path: '/v1/orders', body: order, maySend, signal } as const;
-      return pools.findPool(poolId)?.router.sendTo(serverId, { ...call, usesOwnConnection: true });
-    },
-  });
+  const orders = supervisor.createChild('orders');
+  startOrderKeeper({ clock, logger, supervisor: orders, claims, control, pools });
   registerGauges(metrics, buildOwnStatus);
   const addresses = {
     callers: await callers.listen(settings.callers.address),
--- a/apps/daemon/src/lib/createListeners.test.ts
+++ b/apps/daemon/src/lib/createListeners.test.ts
@@ -8,7 +8,8 @@
 import { processSettingsSchema } from '@endiveferry/settings';
 import { setLogWriter } from '@endiveferry/telemetry';
 
-import { createDaemon, type Daemon } from './createDaemon.js';
+import { createDaemon } from './createDaemon.js';
+import type { Daemon } from './Daemon.js';
 
 setLogWriter(() => undefined);
 
--- a/apps/daemon/src/lib/runProcess.ts
+++ b/apps/daemon/src/lib/runProcess.ts
@@ -4,7 +4,8 @@
 import { formatFault, readProcessSettings } from '@endiveferry/settings';
 import { setLogWriter } from '@endiveferry/telemetry';
 
-import { createDaemon, type Daemon } from './createDaemon.js';
+import { createDaemon } from './createDaemon.js';
+import type { Daemon } from './Daemon.js';
 
 const EXIT_OK = 0;
 const EXIT_FAILED = 1;
--- /dev/null
+++ b/apps/daemon/src/lib/startOrderKeeper.ts
@@ -0,0 +1,43 @@
+import type { Clock, Supervisor } from '@endiveferry/base';
+import type { Claims } from '@endiveferry/claims';
+import { createOrderKeeper } from '@endiveferry/orders';
+import type { PoolSet } from '@endiveferry/pipeline';
+import type { Logger } from '@endiveferry/telemetry';
+
+import type { ControlState } from './createControlState.js';
+
+/** What ordering models needs of a daemon. @internal */
+export interface OrderKeeperParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly supervisor: Supervisor;
+  readonly claims: Claims;
+  readonly control: ControlState;
+  readonly pools: PoolSet;
+}
+
+/**
+ * Starts telling model engines which models to hold.
+ *
+ * @param parts - see {@link OrderKeeperParts}
+ * @internal
+ */
+export function startOrderKeeper(parts: OrderKeeperParts): void {
+  const { clock, logger, supervisor, claims, control, pools } = parts;
+  createOrderKeeper({
+    clock,
+    logger,
+    supervisor,
+    view: claims.view,
+    findFencingNumber: control.hostListRevision,
+    findConfiguration: control.configuration,
+    countHosts: () => control.listHosts().size,
+    findReportedModels: (poolId, serverId) =>
+      pools.findPool(poolId)?.router.findReportedModels(serverId),
+    async send(poolId, serverId, order, maySend, timeoutMs) {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const call = { method: 'POST', path: '/v1/orders', body: order, maySend, signal } as const;
+      return pools.findPool(poolId)?.router.sendTo(serverId, { ...call, usesOwnConnection: true });
+    },
+  });
+}
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,6 +1,5 @@
 /** Running keyed requests at most once across hosts, without a shared record. */
 export {
-  createClaims,
   handOverSchema,
   keyedRequestSchema,
   type Claims,
@@ -10,7 +9,8 @@
   type HandOverPlan,
   type KeyedRequest,
   type TakenOver,
-} from './lib/createClaims.js';
+} from './lib/Claims.js';
+export { createClaims } from './lib/createClaims.js';
 export {
   createHomeView,
   type HomeLimits,
--- a/packages/claims/src/lib/createClaims.test.ts
+++ b/packages/claims/src/lib/createClaims.test.ts
@@ -18,7 +18,8 @@
 import { err, ok } from 'neverthrow';
 import { v7 } from 'uuid';
 
-import { createClaims, type Claims, type KeyedRequest } from './createClaims.js';
+import type { Claims, KeyedRequest } from './Claims.js';
+import { createClaims } from './createClaims.js';
 import type { KeyedOutcome } from './KeyedOutcome.js';
 
 const limits = { clockSkewMs: 0, viewValidityMs: 1_000, keyRetentionMs: 100_000 };
--- a/packages/claims/src/lib/createClaims.ts
+++ b/packages/claims/src/lib/createClaims.ts
@@ -1,133 +1,17 @@
 import { createHash } from 'node:crypto';
 
-import {
-  pipelineIdSchema,
-  processIdSchema,
-  rankIdSchema,
-  requestIdSchema,
-  workspaceIdSchema,
-  computeRendezvousOrder,
-  type Clock,
-  type HostId,
-  type ProcessId,
-  type WorkspaceId,
-} from '@endiveferry/base';
-import type { PeerFailure } from '@endiveferry/peers';
-import type { Result } from 'neverthrow';
+import { computeRendezvousOrder, type HostId, type ProcessId } from '@endiveferry/base';
 import { parse as parseUuid, validate as isUuid, version as findUuidVersion } from 'uuid';
-import { z } from 'zod';
 
-import { createHomeView, type HomeLimits, type HomeView } from './createHomeView.js';
+import { createHomeView } from './createHomeView.js';
 import { createKeyIssuer, isSignedBy, parseIssuedKey, type IssuedKey } from './createKeyIssuer.js';
 import { createKeyRegistry, type KeyRegistry } from './createKeyRegistry.js';
 import { createUnproven, keyedOutcomeSchema, type KeyedOutcome } from './KeyedOutcome.js';
+import type { Claims, ClaimsOptions, HandOver, HandOverPlan, KeyedRequest } from './Claims.js';
 
 /** Bytes of a UUID of version 7 that hold its time in milliseconds. */
 const UUID_TIME_BYTES = 6;
 
-/** Validator of a keyed request, as hosts forward it. @public */
-export const keyedRequestSchema = z.object({
-  requestId: requestIdSchema,
-  workspaceId: workspaceIdSchema,
-  pipelineId: pipelineIdSchema,
-  rankId: rankIdSchema,
-  key: z.string().min(1).max(300),
-  /** Time left to the deadline, in milliseconds. */
-  remainingMs: z.number(),
-  body: z.unknown(),
-});
-
-/** A request that may run at most once under its key. @public */
-export type KeyedRequest = z.infer<typeof keyedRequestSchema>;
-
-const recordSchema = z.object({
-  key: z.string(),
-  bodyHash: z.string(),
-  outcome: keyedOutcomeSchema.or(z.undefined()),
-});
-
-/** Validator of what a stopping host hands on. @public */
-export const handOverSchema = z.object({
-  /** Absent when only answers to made-up keys are handed on. */
-  process: z
-    .object({ processId: processIdSchema, secret: z.string(), generation: z.int() })
-    .optional(),
-  records: z.array(recordSchema),
-});
-
-/** What a stopping host hands on. @public */
-export type HandOver = z.infer<typeof handOverSchema>;
-
-/**
- * Something that a stopping host hands on.
- *
- * @public
- */
-export interface HandOverPlan {
-  /** Who should take it, best first; at most one host may ever be given it. */
-  readonly hosts: readonly HostId[];
-  readonly handOver: HandOver;
-}
-
-/** Runs a keyed request here; `mayRun` is asked again right before anything is written. @public */
-export type ExecuteKeyed = (request: KeyedRequest, mayRun: () => boolean) => Promise<KeyedOutcome>;
-
-/**
- * Options of claims.
- *
- * @public
- */
-export interface ClaimsOptions {
-  readonly hostId: HostId;
-  readonly processId: ProcessId;
-  /** Signs the keys that this process issues. */
-  readonly secret: string;
-  readonly clock: Clock;
-  readonly findLimits: () => HomeLimits;
-  /** The process that a host runs now, as far as its heartbeats tell. */
-  readonly findProcess: (hostId: HostId) => ProcessId | undefined;
-  /** The host that has taken over the keys of a process that stopped. */
-  readonly findSuccessor: (processId: ProcessId) => HostId | undefined;
-  readonly forward: (
-    hostId: HostId,
-    request: KeyedRequest,
-  ) => Promise<Result<unknown, PeerFailure>>;
-  readonly execute: ExecuteKeyed;
-}
-
-/**
- * A process whose issued keys this host has taken over.
- *
- * @public
- */
-export interface TakenOver {
-  readonly processId: ProcessId;
-  /** How often its keys were handed on. */
-  readonly generation: number;
-}
-
-/**
- * Runs each key's request at most once across all hosts.
- *
- * @public
- */
-export interface Claims {
-  /** Issues a key that works even while the platform is down. */
-  issueKey(workspaceId: WorkspaceId): string;
-  /** Runs a request wherever its key belongs. */
-  run(request: KeyedRequest): Promise<KeyedOutcome>;
-  /** Runs a request that another host sent here because it holds this host for the home. */
-  runForwarded(request: KeyedRequest): Promise<KeyedOutcome>;
-  readonly view: HomeView;
-  /** Takes over from a host that stops. */
-  takeOver(handOver: HandOver): void;
-  /** Runs no more keys, and builds what is to be handed on; see {@link HandOverPlan}. */
-  close(hosts: readonly HostId[]): readonly HandOverPlan[];
-  /** Processes whose keys this host has taken over. */
-  readonly listTakenOver: () => readonly TakenOver[];
-  readonly countRecords: () => number;
-}
-
 /** The keys that one process issued, where they may be used now. */
 interface IssuedKeys {
   readonly secret: string;
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -8,12 +8,8 @@
 } from './lib/createPeerConnection.js';
 export type { LinkState } from './lib/createLinkMachine.js';
 export type { HandleHostRequest } from './lib/createPeerListener.js';
-export {
-  createPeerNetwork,
-  type LinkStatus,
-  type PeerNetwork,
-  type PeerNetworkOptions,
-} from './lib/createPeerNetwork.js';
+export { createPeerNetwork } from './lib/createPeerNetwork.js';
+export type { LinkStatus, PeerNetwork, PeerNetworkOptions } from './lib/PeerNetwork.js';
 export {
   heartbeatCodec,
   heartbeatSchema,
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -94,8 +94,8 @@
       ? undefined
       : createSilenceWatch(clock, silenceMs, {
           needsReplies: () => pending.size > 0,
-          ping: () => send({ type: 'request', id: takeId(), kind: 'ping', body: {} }),
-          giveUp: () => socket.destroy(new Error(`the other host was silent for ${silenceMs} ms`)),
+          ask: () => send({ type: 'request', id: takeId(), kind: 'ping', body: {} }),
+          close: () => socket.destroy(new Error(`the other host was silent for ${silenceMs} ms`)),
         });
 
   function takeId(): number {
--- a/packages/peers/src/lib/createPeerNetwork.test.ts
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -12,7 +12,8 @@
 } from '@endiveferry/base';
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
 
-import { createPeerNetwork, type PeerNetwork } from './createPeerNetwork.js';
+import { createPeerNetwork } from './createPeerNetwork.js';
+import type { PeerNetwork } from './PeerNetwork.js';
 import { heartbeatCodec, type Heartbeat } from './messages.js';
 
 setLogWriter(() => undefined);
--- a/packages/peers/src/lib/createSilenceWatch.test.ts
+++ b/packages/peers/src/lib/createSilenceWatch.test.ts
@@ -12,8 +12,8 @@
   const world = { isDue: true, pings: 0, isGivenUp: false };
   const watch = createSilenceWatch(clock, SILENCE_MS, {
     needsReplies: () => world.isDue,
-    ping: () => (world.pings += 1),
-    giveUp: () => (world.isGivenUp = true),
+    ask: () => (world.pings += 1),
+    close: () => (world.isGivenUp = true),
   });
   return { clock, world, watch };
 }
--- a/packages/peers/src/lib/createSilenceWatch.ts
+++ b/packages/peers/src/lib/createSilenceWatch.ts
@@ -22,8 +22,8 @@
 export interface WatchedConnection {
   readonly needsReplies: () => boolean;
   /** Asks the other side for a sign of life. */
-  readonly ping: () => void;
-  readonly giveUp: () => void;
+  readonly ask: () => void;
+  readonly close: () => void;
 }
 
 /**
@@ -59,10 +59,10 @@
     const stoodStill = clock.now() - lookAt > intervalMs * (LATE_LOOK - 1);
     silentLooks = stoodStill ? 0 : silentLooks + 1;
     if (silentLooks >= LOOKS) {
-      connection.giveUp();
+      connection.close();
       return;
     }
-    if (silentLooks > 0) connection.ping();
+    if (silentLooks > 0) connection.ask();
     scheduleLook();
   }
 
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -137,12 +137,12 @@
   function listDispatchers(poolId: PoolId): readonly HostId[] {
     const known = orders.get(poolId);
     if (known !== undefined && clock.now() - known.at < ORDER_VALID_MS) return known.hosts;
-    const hosts = orderDispatchers(poolId);
+    const hosts = sortDispatchers(poolId);
     orders.set(poolId, { at: clock.now(), hosts });
     return hosts;
   }
 
-  function orderDispatchers(poolId: PoolId): readonly HostId[] {
+  function sortDispatchers(poolId: PoolId): readonly HostId[] {
     const live = new Map(members.listLive());
     if (!options.isStopping() || live.size === 0) live.set(hostId, weight);
     return computeWeightedOrder(poolId, live);
--- a/packages/relay/src/lib/pieces/QueuedGroup.ts
+++ b/packages/relay/src/lib/pieces/QueuedGroup.ts
@@ -13,7 +13,9 @@
   isEnded: boolean;
   /** Pieces whose replicas have fetched their inputs. */
   readonly fetched: Set<number>;
-  /** Called once, when all pieces' inputs were fetched. */
+  /** Whether that was told; a piece that fails afterwards may fetch them again, or find them gone. */
+  hasToldFetched: boolean;
+  /** Told once, when all pieces' inputs were fetched. */
   readonly noteInputsFetched: () => void;
   readonly settle: (result: Result<readonly PieceResult[], Failure>) => void;
 }
@@ -43,6 +45,7 @@
     missing: group.pieceCount,
     isEnded: false,
     fetched: new Set(),
+    hasToldFetched: false,
     noteInputsFetched,
     settle,
   };
--- a/packages/relay/src/lib/pieces/createGroupQueue.ts
+++ b/packages/relay/src/lib/pieces/createGroupQueue.ts
@@ -92,7 +92,9 @@
       for (const { entry, pieceIndex } of slots) {
         if (entry.isEnded || entry.fetched.has(pieceIndex)) continue;
         entry.fetched.add(pieceIndex);
-        if (entry.fetched.size === entry.group.pieceCount) entry.noteInputsFetched();
+        if (entry.hasToldFetched || entry.fetched.size < entry.group.pieceCount) continue;
+        entry.hasToldFetched = true;
+        entry.noteInputsFetched();
       }
     },
     takeResult({ entry, pieceIndex }, result) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,13 +2,8 @@
 export type { ChoiceRequest } from './lib/chooseServer.js';
 export { chooseSubset } from './lib/chooseSubset.js';
 export { computeOwnSlots } from './lib/computeOwnSlots.js';
-export {
-  createPoolRouter,
-  type PoolRouter,
-  type PoolRouterOptions,
-  type ServerLease,
-  type ServerStatus,
-} from './lib/createPoolRouter.js';
+export { createPoolRouter } from './lib/createPoolRouter.js';
+export type { PoolRouter, PoolRouterOptions, ServerLease, ServerStatus } from './lib/PoolRouter.js';
 export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
 export {
   createServerConnections,
--- a/packages/routing/src/lib/createServerConnections.test.ts
+++ b/packages/routing/src/lib/createServerConnections.test.ts
@@ -5,13 +5,14 @@
 import { createServerConnections } from './createServerConnections.js';
 
 /** Sends the beginning of an answer that has no length, and then does something to the connection. */
-async function sendUnframed(finish: (socket: Socket) => void) {
+async function sendUnframed(finish: (socket: Socket) => void, delayMs = 30) {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it', () => {
-        // The reader has to have read what was written before it meets the end.
-        setTimeout(() => finish(socket), 30);
+        // With a delay, the reader has read what was written before it meets the end.
+        if (delayMs > 0) setTimeout(() => finish(socket), delayMs);
+        else finish(socket);
       });
     });
   });
@@ -34,3 +35,13 @@
   assert.ok(result.kind === 'answered');
   assert.equal(result.body.toString(), 'half of it');
 });
+
+test('an answer without a length whose reset came together with it was taken for whole', async () => {
+  const result = await sendUnframed((socket) => socket.resetAndDestroy(), 0);
+  assert.equal(result.kind, 'unknown');
+});
+
+test('an answer without a length that ends at once is whole', async () => {
+  const result = await sendUnframed((socket) => socket.end(), 0);
+  assert.ok(result.kind === 'answered');
+});
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -25,18 +25,24 @@
   close(): Promise<void>;
 }
 
-/** Tells whether an error of any of some sockets is being handled at this very moment. */
+/** Tells whether a reset of any of some sockets is being handled at this very moment. */
 function createSocketWatch() {
   let isFailing = false;
+  const noteFailure = () => {
+    isFailing = true;
+    queueMicrotask(() => {
+      isFailing = false;
+    });
+  };
   return {
     isFailing: () => isFailing,
-    /** Watches a socket; its first listener runs before those of the client library. */
+    /** Watches a socket; its first listeners run before those of the client library. */
     watch: (socket: Socket): void => {
-      socket.on('error', () => {
-        isFailing = true;
-        queueMicrotask(() => {
-          isFailing = false;
-        });
+      socket.on('error', noteFailure);
+      socket.on('end', () => {
+        // A reset that arrives together with data is told as an ordinary end. A connection that was
+        // reset has no peer any more; Node keeps the first answer, so nothing may ask before.
+        if (socket.remoteAddress === undefined) noteFailure();
       });
     },
   };
