--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -30,6 +30,12 @@
 /** Time to look again when replicas rest or have no room, in milliseconds. */
 const LOOK_AGAIN_MS = 30;
 
+/** Lists why pieces of a call brought no result. */
+const listFailures = (answer: PiecesAnswer): readonly PieceFailure[] =>
+  answer.kind === 'answered'
+    ? answer.outcomes.flatMap((outcome) => (outcome.kind === 'failed' ? [outcome.reason] : []))
+    : [];
+
 /**
  * Creates the dispatcher of one pool.
  *
@@ -160,6 +166,7 @@
       measuredMs: Math.round(measuredMs),
       expectedMs: Math.round(expectedMs),
       outcome: answer.kind,
+      failed: listFailures(answer),
     });
     if (answer.kind === 'answered') {
       replica.recordSuccess(measuredMs, expectedMs);
