--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -2,6 +2,7 @@
 import {
   createPieceDispatcher,
   type Backends,
+  type EstimateWaitMs,
   type PieceCall,
   type PieceDispatcher,
   type PiecesAnswer,
@@ -31,7 +32,7 @@
   readonly backends: Backends;
   readonly onGone: (serverId: BackendServerId) => void;
   readonly mayRepeat: (poolId: PoolId) => boolean;
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
 }
 
 /**
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -171,7 +171,7 @@
     );
   }
 
-  const listOwnWaits = (poolId: PoolId) => [...(dispatchers.find(poolId)?.listWaits() ?? [])];
+  const listOwnWaits = (poolId: PoolId) => dispatchers.find(poolId)?.listWaits() ?? [];
 
   /** The waiting time that the pool's dispatcher, here or elsewhere, told last. */
   function estimateWaitMs(poolId: PoolId, rank: number): number {
@@ -185,7 +185,7 @@
     const own = dispatchers.listPools().filter(fleet.isDispatcher);
     const told = waits.list().filter(({ poolId }) => !own.includes(poolId));
     const ownWaits = own.map((poolId) => ({ poolId, ageMs: 0, byRank: listOwnWaits(poolId) }));
-    return [...ownWaits, ...told].map((entry) => ({ ...entry, byRank: [...entry.byRank] }));
+    return [...ownWaits, ...told];
   }
 
   const storeListener: StoreListener = {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,9 +11,9 @@
 export { createStageClient, type StageClient } from './lib/createStageClient.js';
 export { createTrustClock, type Moment, type TrustClock } from './lib/createTrustClock.js';
 export { createPieceDispatcher } from './lib/pieces/createPieceDispatcher.js';
-export { createWaitTable, type ToldWaits, type WaitTable } from './lib/pieces/createWaitTable.js';
+export { createWaitTable, type WaitTable } from './lib/pieces/createWaitTable.js';
 export type { PieceDispatcher, PiecesAnswer } from './lib/pieces/PieceDispatcher.js';
-export { findWaitMs, type RankWait } from './lib/pieces/RankWait.js';
+export { findWaitMs, type EstimateWaitMs, type RankWait } from './lib/pieces/RankWait.js';
 export type {
   AnswerFacts,
   BackendRequest,
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -4,6 +4,7 @@
   type BackendServerId,
 } from '@endiveferry/base';
 
+import { countTokens } from './countTokens.js';
 import type { Backend } from './createBackends.js';
 import type { PromptCache } from './createPromptCache.js';
 import type { PromptPart } from './ports.js';
@@ -115,9 +116,9 @@
  */
 export function chooseEngine(choice: EngineChoice): Backend | undefined {
   const { promptParts, cache, inputs } = choice;
-  const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const promptTokens = countTokens(promptParts);
   const sharedParts = listSharedParts(promptParts);
-  const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const sharedTokens = countTokens(sharedParts);
   const homeId = findHomeEngine(promptParts, choice.candidates)?.server.serverId;
   return chooseCheapest(choice, (backend) => {
     const { serverId, availabilityZone } = backend.server;
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -18,8 +18,12 @@
 const FAILURE_HALF_LIFE_MS = 4_000;
 /** The largest part of a pool that may be ejected at a time. */
 const MAX_EJECTED_SHARE = 0.5;
-/** Time to read one prompt token before any was measured, in milliseconds; engines read 50 to 120 in one. */
-const FIRST_TOKEN_MS = 0.015;
+/**
+ * Time to read one prompt token before any was measured, in milliseconds; engines read 50 to 120 in one.
+ *
+ * @internal
+ */
+export const FIRST_TOKEN_MS = 0.015;
 /** Bounds of what a measurement may say, in milliseconds: a queue is not a reading speed. */
 const MIN_TOKEN_MS = 0.004;
 const MAX_TOKEN_MS = 0.1;
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -18,14 +18,14 @@
 import type { Beliefs } from './createBeliefs.js';
 import { createMembership } from './createMembership.js';
 import type { ServerList } from './createServerList.js';
-import type { TrustClock } from './createTrustClock.js';
+import type { Moment, TrustClock } from './createTrustClock.js';
 import {
   passedConfigurationSchema,
   passedServersSchema,
   relayHeartbeatCodec,
   type RelayHeartbeat,
+  type ToldWaits,
 } from './messages.js';
-import type { ToldWaits } from './pieces/createWaitTable.js';
 import type { HostPlace, WireProtocol } from './ports.js';
 
 /** A connection with requests in progress is given up after so long without a sign of life. */
@@ -116,8 +116,6 @@
     onChange: () => updatePeers(),
   });
   const orders = new Map<PoolId, { readonly at: number; readonly hosts: readonly HostId[] }>();
-  let isReadingConfiguration = false;
-  let isReadingServers = false;
 
   function buildHeartbeat(): RelayHeartbeat {
     const confirmedAgeMs = beliefs.confirmedAgeMs();
@@ -176,47 +174,50 @@
     if (heartbeat.serversRevision > servers.revision()) void readServers(id);
   }
 
-  async function readConfiguration(from: HostId): Promise<void> {
-    if (isReadingConfiguration) return;
-    isReadingConfiguration = true;
-    const askedAt = trustClock.takeMoment();
-    try {
-      const reply = await network.request(from, 'read-configuration', {}, READ_TIMEOUT_MS);
-      if (reply.isErr()) throw new Error(reply.error.detail);
-      const { text, confirmedAgeMs } = passedConfigurationSchema.parse(reply.value);
+  /** Reads something whole from a host that has a newer one, one reading at a time. */
+  function createReader(
+    kind: 'read-configuration' | 'read-servers',
+    what: string,
+    take: (body: unknown, from: HostId, askedAt: Moment) => void,
+  ): (from: HostId) => Promise<void> {
+    let isReading = false;
+    return async (from) => {
+      if (isReading) return;
+      isReading = true;
+      const askedAt = trustClock.takeMoment();
+      try {
+        const reply = await network.request(from, kind, {}, READ_TIMEOUT_MS);
+        if (reply.isErr()) throw new Error(reply.error.detail);
+        take(reply.value, from, askedAt);
+      } catch (error) {
+        logger.warn(`${what} could not be read from a host`, {
+          peer: from,
+          error: describeError(error),
+        });
+      } finally {
+        isReading = false;
+      }
+    };
+  }
+
+  const readConfiguration = createReader(
+    'read-configuration',
+    'a configuration',
+    (body, from, askedAt) => {
+      const { text, confirmedAgeMs } = passedConfigurationSchema.parse(body);
       const document = options.protocol.readDocument(text);
       if (document.isErr()) throw new Error(document.error);
       const age = confirmedAgeMs ?? Infinity;
       beliefs.adopt(document.value, trustClock.goBack(askedAt, age), `host ${from}`);
-    } catch (error) {
-      logger.warn('a configuration could not be read from a host', {
-        peer: from,
-        error: describeError(error),
-      });
-    } finally {
-      isReadingConfiguration = false;
-    }
-  }
+    },
+  );
 
-  async function readServers(from: HostId): Promise<void> {
-    if (isReadingServers) return;
-    isReadingServers = true;
-    try {
-      const reply = await network.request(from, 'read-servers', {}, READ_TIMEOUT_MS);
-      if (reply.isErr()) throw new Error(reply.error.detail);
-      const passed = passedServersSchema.parse(reply.value);
-      if (passed.revision > servers.revision()) {
-        servers.replace(passed.servers, passed.revision, `host ${from}`);
-      }
-    } catch (error) {
-      logger.warn('the list of backend servers could not be read from a host', {
-        peer: from,
-        error: describeError(error),
-      });
-    } finally {
-      isReadingServers = false;
+  const readServers = createReader('read-servers', 'the list of backend servers', (body, from) => {
+    const passed = passedServersSchema.parse(body);
+    if (passed.revision > servers.revision()) {
+      servers.replace(passed.servers, passed.revision, `host ${from}`);
     }
-  }
+  });
 
   const requestHandlers: Partial<Record<string, () => Promise<unknown>>> = {
     'read-configuration': () => {
@@ -260,7 +261,7 @@
     hostId,
     listDispatchers,
     isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
-    countHosts: () => 1 + members.listKnown().length,
+    countHosts: () => 1 + members.countKnown(),
     request: (...args) => network.request(...args),
     listHeartbeats: members.listHeartbeats,
     announce() {
--- a/packages/relay/src/lib/createInputPreparer.ts
+++ b/packages/relay/src/lib/createInputPreparer.ts
@@ -1,25 +1,18 @@
-import {
-  createRefusal,
-  type Clock,
-  type Failure,
-  type PipelineId,
-  type PoolId,
-} from '@endiveferry/base';
+import { createRefusal, type Clock, type Failure, type PipelineId } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
 import type { Admitted } from './admitCall.js';
 import { findHomeEngine } from './chooseBackend.js';
-import type { Backends } from './createBackends.js';
+import { countTokens } from './countTokens.js';
+import { FIRST_TOKEN_MS, type Backends } from './createBackends.js';
 import type { StageClient } from './createStageClient.js';
 import type { RenewedInputs } from './ForwardRequest.js';
-import type { CallFacts } from './ports.js';
+import type { EstimateWaitMs } from './pieces/RankWait.js';
 import { runStages, type StagesOutput } from './runStages.js';
 
 /** Time to the first event of an empty prompt, in milliseconds: an engine's first step, and two hops. */
 const EMPTY_PROMPT_MS = 50;
-/** Time to read one prompt token before any was measured, in milliseconds; engines read 50 to 120 in one. */
-const FIRST_TOKEN_MS = 0.015;
 /** Weight of the newest stream in the expected time to read a token. */
 const TOKEN_WEIGHT = 0.1;
 /** Prompts shorter than this, in tokens, tell little of the time to read one. */
@@ -49,12 +42,9 @@
   readonly backends: Backends;
   readonly stages: StageClient;
   /** Time until a stage of a pool would start, in milliseconds. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
 }
 
-const countTokens = ({ promptParts }: CallFacts) =>
-  promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
-
 /**
  * Creates the preparer.
  *
@@ -70,7 +60,7 @@
 
   /** A prompt may be several times as long as others of its pipeline, and takes as much longer. */
   const estimateFirstEventMs = ({ route, facts }: Admitted) =>
-    EMPTY_PROMPT_MS + countTokens(facts) * findTokenMs(route.pipelineId);
+    EMPTY_PROMPT_MS + countTokens(facts.promptParts) * findTokenMs(route.pipelineId);
 
   /** Refuses at once what cannot get its first event in time. */
   function checkDoor(admitted: Admitted): Failure | undefined {
@@ -136,7 +126,7 @@
       return { inputs: output?.results.map(({ handle }) => handle), inputBytes };
     },
     noteFirstEvent({ route, facts }, durationMs) {
-      const tokens = countTokens(facts);
+      const tokens = countTokens(facts.promptParts);
       if (tokens < MEASURED_TOKENS) return;
       const known = findTokenMs(route.pipelineId);
       const measured = Math.max(0, durationMs - EMPTY_PROMPT_MS) / tokens;
--- a/packages/relay/src/lib/createMembership.ts
+++ b/packages/relay/src/lib/createMembership.ts
@@ -27,6 +27,7 @@
   noteHeartbeat(hostId: HostId, heartbeat: RelayHeartbeat): void;
   /** Other hosts that were heard lately, by anybody. */
   readonly listKnown: () => readonly HostId[];
+  readonly countKnown: () => number;
   /** Other hosts that take work, with their weights. */
   readonly listLive: () => ReadonlyMap<HostId, number>;
   /** What live hosts said last, of those that this host hears itself. */
@@ -134,6 +135,7 @@
       forgetSilent();
     },
     listKnown: () => [...known.keys()],
+    countKnown: () => known.size,
     listLive: () =>
       new Map(
         [...known].flatMap(([id, host]) =>
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -4,7 +4,6 @@
   workspaceIdSchema,
   type BackendServerId,
   type Clock,
-  type Failure,
   type PoolId,
   type Random,
 } from '@endiveferry/base';
@@ -14,6 +13,7 @@
 
 import { admitCall, type Admitted } from './admitCall.js';
 import { chooseEngine, choosePlainServer } from './chooseBackend.js';
+import { countTokens } from './countTokens.js';
 import type { Backends } from './createBackends.js';
 import type { Beliefs } from './createBeliefs.js';
 import { createInputPreparer } from './createInputPreparer.js';
@@ -21,9 +21,10 @@
 import type { StageClient } from './createStageClient.js';
 import { forwardCall } from './forwardCall.js';
 import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
-import type { CallFacts, HostPlace, RawCall, WireProtocol } from './ports.js';
+import type { EstimateWaitMs } from './pieces/RankWait.js';
+import type { HostPlace, RawCall, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
-import { spreadRetry } from './spreadRetry.js';
+import { sendFailure } from './sendFailure.js';
 
 /** Part of the fleet-wide repeats that is planned with; the fleet is never seen exactly. */
 const BUDGET_SHARE = 0.7;
@@ -55,7 +56,7 @@
   /** Prompt tokens that other hosts' requests still have to be read at an engine. */
   readonly countOtherTokens: (serverId: BackendServerId) => number;
   /** Time until a stage of a pool would start, in milliseconds. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
   /** Whether this host stops so soon that new requests might not be finished. */
   readonly isRefusing: () => boolean;
   /** Tells of a server that another one took the address of. */
@@ -108,9 +109,7 @@
     });
     if (backend === undefined) return undefined;
     const { serverId } = backend.server;
-    const promptTokens =
-      promptParts.reduce((sum, { tokens }) => sum + tokens, 0) -
-      promptCache.countCached(serverId, promptParts);
+    const promptTokens = countTokens(promptParts) - promptCache.countCached(serverId, promptParts);
     promptCache.recordSent(serverId, promptParts);
     return { backend, promptTokens };
   }
@@ -121,7 +120,10 @@
     signal: AbortSignal,
   ): Promise<ForwardOutcome> {
     const prepared = await inputs.prepare(admitted, signal);
-    if (prepared.isErr()) return sendFailure(prepared.error, admitted.facts, responder);
+    if (prepared.isErr()) {
+      const sent = sendFailure(prepared.error, admitted.facts.requestId, responder, options);
+      return { ...sent, servers: [], firstEventAt: undefined };
+    }
     let output = prepared.value;
     let preparedAt = clock.now();
     const { call, facts, route, poolId, workspace, rank, endAt, streamEndAt } = admitted;
@@ -175,17 +177,6 @@
     return outcome;
   }
 
-  function sendFailure(
-    failure: Failure,
-    facts: CallFacts | undefined,
-    responder: Responder,
-  ): ForwardOutcome {
-    const spread = spreadRetry(failure, random);
-    const answer = protocol.buildFailure(spread, facts?.requestId);
-    responder.send(answer);
-    return { failure: spread, status: answer.status, servers: [], firstEventAt: undefined };
-  }
-
   /** One line for each request: what was decided, on which beliefs, and how it ended. */
   function recordOutcome(admitted: Admitted, outcome: ForwardOutcome): void {
     const { facts, route, workspace, arrivedAt } = admitted;
@@ -232,9 +223,10 @@
     );
     if (admitted.isErr()) {
       const failure = admitted.error;
-      sendFailure(failure, facts.unwrapOr(undefined), responder);
+      const requestId = facts.map((parsed) => parsed.requestId).unwrapOr(undefined);
+      sendFailure(failure, requestId, responder, options);
       logger.info('request refused at the door', {
-        requestId: facts.map(({ requestId }) => requestId).unwrapOr(undefined),
+        requestId,
         reason: failure.reason,
         detail: failure.detail,
         version: beliefs.version(),
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -17,9 +17,9 @@
   runPiecesSchema,
   type RunPieces,
   type RunPiecesReply,
+  type ToldWaits,
 } from './messages.js';
 import type { PieceDispatcher, PieceResult } from './pieces/PieceDispatcher.js';
-import type { ToldWaits } from './pieces/createWaitTable.js';
 import type { PieceGroup } from './pieces/WaitingGroup.js';
 
 /** Time beyond a request's own after which a dispatcher's answer is not waited for, in milliseconds. */
@@ -174,7 +174,7 @@
       const outcome = toOutcome(
         await dispatcher.run(group, controller.signal, hasInputs ? noteFetched : undefined),
       );
-      return { outcome, byRank: [...dispatcher.listWaits()] };
+      return { outcome, byRank: dispatcher.listWaits() };
     } finally {
       orders.delete(orderId);
     }
--- a/packages/relay/src/lib/estimateStages.ts
+++ b/packages/relay/src/lib/estimateStages.ts
@@ -1,6 +1,6 @@
 import type { PoolId } from '@endiveferry/base';
 
-import { estimateCallMs } from './pieces/chooseBatch.js';
+import { estimateSoloMs } from './pieces/estimateCallMs.js';
 import type { RelayPool, Route } from './RelayConfiguration.js';
 
 /** Time of a hop to a dispatcher and a replica and back, in milliseconds; zones lie a few apart. */
@@ -30,7 +30,7 @@
     const count = pieceCounts[index] ?? 0;
     if (stage === undefined || capacity === undefined || count === 0) continue;
     const calls = Math.ceil(count / capacity.batch);
-    const ownMs = estimateCallMs(capacity, Math.min(count, capacity.batch), 1) * calls + HOP_MS;
+    const ownMs = estimateSoloMs(capacity, count, 1) * calls + HOP_MS;
     const beforeMs = (tails[index] ?? firstEventMs) + ownMs;
     for (const earlier of stage.after) tails[earlier] = Math.max(tails[earlier] ?? 0, beforeMs);
   }
--- a/packages/relay/src/lib/forwardCall.ts
+++ b/packages/relay/src/lib/forwardCall.ts
@@ -19,7 +19,7 @@
 import { createStreamRelay, type StreamRelay } from './createStreamRelay.js';
 import { findExecution, readAttempt, type AttemptEnd } from './readAttempt.js';
 import { isRepeatable } from './RelayConfiguration.js';
-import { spreadRetry } from './spreadRetry.js';
+import { sendFailure } from './sendFailure.js';
 
 /** Servers that are looked for in vain, because they can't be connected to, before giving up. */
 const MAX_CONNECT_FAILURES = 3;
@@ -218,10 +218,7 @@
     responder.abort();
     return { ...common, failure, status: undefined };
   }
-  const spread = spreadRetry(failure, ports.random);
-  const answer = ports.protocol.buildFailure(spread, request.facts.requestId);
-  responder.send(answer);
-  return { ...common, failure: spread, status: answer.status };
+  return { ...common, ...sendFailure(failure, request.facts.requestId, responder, ports) };
 }
 
 /**
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -19,10 +19,14 @@
 
 const toldWaitsSchema = z.object({
   poolId: poolIdSchema,
+  /** How old the waiting times are, in milliseconds. */
   ageMs: z.number(),
-  byRank: z.array(rankWaitSchema),
+  byRank: z.array(rankWaitSchema).readonly(),
 });
 
+/** Waiting times of one pool, as hosts tell them. @public */
+export type ToldWaits = z.infer<typeof toldWaitsSchema>;
+
 /** Validator of a heartbeat between relay hosts. */
 const relayHeartbeatSchema = z.object({
   processId: processIdSchema,
@@ -86,7 +90,7 @@
 /** Validator of the answer to a request for pieces. @internal */
 export const runPiecesReplySchema = z.object({
   /** Waiting times at the dispatcher now. */
-  byRank: z.array(rankWaitSchema),
+  byRank: z.array(rankWaitSchema).readonly(),
   outcome: z.discriminatedUnion('kind', [
     z.object({ kind: z.literal('made'), results: z.array(pieceResultSchema) }),
     z.object({
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -4,7 +4,7 @@
 
 import type { PieceCall, PieceOutcome } from '../ports.js';
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
-import type { RankWait } from './RankWait.js';
+import type { EstimateWaitMs, RankWait } from './RankWait.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
 /** One result of a stage. @public */
@@ -62,7 +62,7 @@
   /** Tells of a server that another one took the address of. */
   readonly onGone: (serverId: BackendServerId) => void;
   /** Time that work waits at another pool, in milliseconds, as far as this host knows. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
   /** Asked before pieces are sent once more. */
   readonly mayRepeat: () => boolean;
 }
--- a/packages/relay/src/lib/pieces/RankWait.ts
+++ b/packages/relay/src/lib/pieces/RankWait.ts
@@ -1,7 +1,8 @@
+import type { PoolId } from '@endiveferry/base';
 import { z } from 'zod';
 
 import type { StageCapacity } from '../RelayConfiguration.js';
-import { estimateCallMs } from './chooseBatch.js';
+import { estimateCallMs } from './estimateCallMs.js';
 import type { WaitingGroup } from './WaitingGroup.js';
 
 /** Validator of {@link RankWait}. @internal */
@@ -14,6 +15,9 @@
 /** How long work of a rank waits at a dispatcher, where more urgent work goes first. @public */
 export type RankWait = z.infer<typeof rankWaitSchema>;
 
+/** Estimates how long work of a rank waits at a pool, in milliseconds; rank Infinity counts all. @public */
+export type EstimateWaitMs = (poolId: PoolId, rank: number) => number;
+
 /**
  * Finds how long work of a rank waits.
  *
--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -1,6 +1,8 @@
-import type { AvailabilityZoneId, PoolId } from '@endiveferry/base';
+import type { AvailabilityZoneId } from '@endiveferry/base';
 
 import type { StageCapacity } from '../RelayConfiguration.js';
+import { estimateCallMs, estimateSoloMs } from './estimateCallMs.js';
+import type { EstimateWaitMs } from './RankWait.js';
 import type { WaitingGroup } from './WaitingGroup.js';
 
 /**
@@ -62,7 +64,7 @@
   /** Availability zones of other replicas that could take a call at this moment, and are asked next. */
   readonly idleZones: ReadonlySet<AvailabilityZoneId>;
   /** Time that work of a rank waits at the pool of a following stage, in milliseconds; Infinity for all. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
 }
 
 /** The pieces of one group that go into a call. @public */
@@ -71,23 +73,6 @@
   readonly pieces: readonly number[];
 }
 
-/**
- * Estimates the time of a call.
- *
- * @param capacity - the pool's figures
- * @param pieceCount - pieces in the call
- * @param slowness - the replica's factor
- * @returns the time, in milliseconds
- * @public
- */
-export function estimateCallMs(
-  capacity: StageCapacity,
-  pieceCount: number,
-  slowness: number,
-): number {
-  return (capacity.callMs + pieceCount * capacity.pieceMs) * slowness;
-}
-
 const countPieces = (groups: readonly { readonly pieces: readonly number[] }[]) =>
   groups.reduce((sum, { pieces }) => sum + pieces.length, 0);
 
@@ -165,8 +150,7 @@
   choice: BatchChoice<Group>,
 ): readonly BatchPart<Group>[] {
   const { waiting, capacity, replica, now } = choice;
-  const soloMs = ({ pieces }: Group) =>
-    estimateCallMs(capacity, Math.min(pieces.length, capacity.batch), replica.slowness);
+  const soloMs = ({ pieces }: Group) => estimateSoloMs(capacity, pieces.length, replica.slowness);
   // Waiting at the stages that follow is to be expected, so the target is missed that much earlier.
   const findLatestStart = (entry: Group) =>
     entry.group.targetEndAt -
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -3,7 +3,8 @@
 
 import type { PieceFailure } from '../ports.js';
 import type { StageCapacity } from '../RelayConfiguration.js';
-import { chooseBatch, estimateCallMs, type BatchPart } from './chooseBatch.js';
+import { chooseBatch, type BatchPart } from './chooseBatch.js';
+import { estimateCallMs, estimateSoloMs } from './estimateCallMs.js';
 import { createGroupQueue, type CallSlot } from './createGroupQueue.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
 import type {
@@ -69,7 +70,7 @@
     estimateWaitMs = options.estimateWaitMs,
   ): Failure | undefined {
     if (capacity === undefined) return undefined;
-    const soloMs = estimateCallMs(capacity, Math.min(group.pieceCount, capacity.batch), 1);
+    const soloMs = estimateSoloMs(capacity, group.pieceCount, 1);
     return refuseLate(group, { now: clock.now(), soloMs, waits, estimateWaitMs });
   }
 
--- a/packages/relay/src/lib/pieces/createWaitMemo.ts
+++ b/packages/relay/src/lib/pieces/createWaitMemo.ts
@@ -1,7 +1,4 @@
-import type { PoolId } from '@endiveferry/base';
-
-/** Estimates how long work of a rank waits at a pool, in milliseconds. @internal */
-export type EstimateWaitMs = (poolId: PoolId, rank: number) => number;
+import type { EstimateWaitMs } from './RankWait.js';
 
 /**
  * Keeps estimates for the length of one decision, which asks for the same ones for many groups.
--- a/packages/relay/src/lib/pieces/createWaitTable.ts
+++ b/packages/relay/src/lib/pieces/createWaitTable.ts
@@ -1,17 +1,11 @@
 import type { Clock, PoolId } from '@endiveferry/base';
 
+import type { ToldWaits } from '../messages.js';
 import { findWaitMs, type RankWait } from './RankWait.js';
 
 /** Waiting times that are older than this, in milliseconds, say nothing. */
 const VALID_MS = 3_000;
 
-/** Waiting times of one pool and how old they are, in milliseconds. @public */
-export interface ToldWaits {
-  readonly poolId: PoolId;
-  readonly ageMs: number;
-  readonly byRank: readonly RankWait[];
-}
-
 /**
  * The newest waiting times of all pools that this host was told of.
  *
--- a/packages/relay/src/lib/pieces/refuseLate.ts
+++ b/packages/relay/src/lib/pieces/refuseLate.ts
@@ -1,6 +1,6 @@
-import { createRefusal, type Failure, type PoolId } from '@endiveferry/base';
+import { createRefusal, type Failure } from '@endiveferry/base';
 
-import { findWaitMs, type RankWait } from './RankWait.js';
+import { findWaitMs, type EstimateWaitMs, type RankWait } from './RankWait.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
 /** Work that waits, in milliseconds, below which nothing is refused: targets are missed by chance then. */
@@ -16,7 +16,7 @@
   /** Waits at the group's own pool. */
   readonly waits: readonly RankWait[];
   /** Time that work of a rank waits at another pool, in milliseconds; Infinity for all. */
-  readonly estimateWaitMs: (poolId: PoolId, rank: number) => number;
+  readonly estimateWaitMs: EstimateWaitMs;
 }
 
 /**
