Split the three longest test files; let tests and example share what they started alike

Worlds of tests are files of their own, and tests stand by subject: calls, streams, beliefs and stops of a host; hazards and schedules of claims. The example on stand-ins and the hosts' tests now take one shop and one way to start a host; two tests of the network of hosts take one start.

--- a/packages/peers/src/lib/createPeerNetwork.test.ts
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -3,23 +3,19 @@
 import { test } from 'node:test';
 
 import {
-  createRandom,
   createSupervisor,
   createSystemClock,
-  hostIdSchema,
   processIdSchema,
   type HostId,
 } from '@endiveferry/base';
-import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+import { setLogWriter } from '@endiveferry/telemetry';
 
-import { createPeerNetwork } from './createPeerNetwork.js';
 import type { PeerNetwork } from './PeerNetwork.js';
-import { heartbeatCodec, type Heartbeat } from './messages.js';
+import { hostA, hostB, startTestNetwork } from './startTestNetwork.js';
+import { type Heartbeat } from './messages.js';
 
 setLogWriter(() => undefined);
 
-const hostA = hostIdSchema.parse('host-a');
-const hostB = hostIdSchema.parse('host-b');
 const clock = createSystemClock();
 
 const createHeartbeat = (hostId: HostId): Heartbeat => ({
@@ -47,18 +43,10 @@
   const networks: PeerNetwork<Heartbeat>[] = [];
   const supervisor = createSupervisor('test', { clock, onCrash: () => undefined });
   async function start(hostId: HostId): Promise<PeerNetwork<Heartbeat>> {
-    const network = await createPeerNetwork({
-      hostId,
-      processId: processIdSchema.parse(`process-${hostId}`),
-      address: '127.0.0.1:0',
-      keys: () => undefined,
-      clock,
-      random: createRandom(1),
-      logger: createLogger(hostId, 'error'),
-      supervisor: supervisor.createChild(hostId),
+    const network = await startTestNetwork(hostId, {
+      supervisor,
       findAddress: (id) => addresses.get(id),
       isListed: (id) => listed.has(id),
-      codec: heartbeatCodec,
       buildHeartbeat: () => createHeartbeat(hostId),
       onHeartbeat: (id) => heard.set(id, (heard.get(id) ?? 0) + 1),
       handleRequest: (from, kind, body) => Promise.resolve({ from, kind, body }),
--- a/packages/peers/src/lib/peerTls.test.ts
+++ b/packages/peers/src/lib/peerTls.test.ts
@@ -2,25 +2,16 @@
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 
-import {
-  createRandom,
-  createSupervisor,
-  createSystemClock,
-  hostIdSchema,
-  processIdSchema,
-  type HostId,
-} from '@endiveferry/base';
-import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+import { createSupervisor, createSystemClock, type HostId } from '@endiveferry/base';
+import { setLogWriter } from '@endiveferry/telemetry';
 
-import { createPeerNetwork } from './createPeerNetwork.js';
 import type { PeerNetwork } from './PeerNetwork.js';
-import { heartbeatCodec, type Heartbeat } from './messages.js';
+import { hostA, hostB, startTestNetwork } from './startTestNetwork.js';
+import { type Heartbeat } from './messages.js';
 import type { TlsKeys } from './openPeerSocket.js';
 
 setLogWriter(() => undefined);
 
-const hostA = hostIdSchema.parse('host-a');
-const hostB = hostIdSchema.parse('host-b');
 const clock = createSystemClock();
 
 function readKeys(name: string): TlsKeys {
@@ -42,20 +33,11 @@
   const supervisor = createSupervisor('test', { clock, onCrash: () => undefined });
   let listenerKeys = readKeys('host-b');
   const start = (hostId: HostId, keys: () => TlsKeys | undefined) =>
-    createPeerNetwork({
-      hostId,
-      processId: processIdSchema.parse('process'),
-      address: '127.0.0.1:0',
+    startTestNetwork(hostId, {
+      supervisor,
       keys,
-      clock,
-      random: createRandom(1),
-      logger: createLogger(hostId, 'error'),
-      supervisor: supervisor.createChild(hostId),
       findAddress: (id) => addresses.get(id),
-      isListed: () => true,
-      codec: heartbeatCodec,
       buildHeartbeat: () => assert.fail('no heartbeat is sent here'),
-      onHeartbeat: () => undefined,
       handleRequest: () => Promise.resolve('done'),
     });
   const listener = await start(hostB, () => listenerKeys);
--- /dev/null
+++ b/packages/pipeline/src/lib/createStageWorld.ts
@@ -0,0 +1,260 @@
+import assert from 'node:assert/strict';
+
+import {
+  backendServerIdSchema,
+  createFakeClock,
+  hostIdSchema,
+  pipelineIdSchema,
+  poolIdSchema,
+  rankIdSchema,
+  requestIdSchema,
+  stageIdSchema,
+  workspaceIdSchema,
+} from '@endiveferry/base';
+import {
+  createRetryBudget,
+  createServiceEstimator,
+  createStageQueue,
+} from '@endiveferry/admission';
+import type { Call, CallResult, ServerLease } from '@endiveferry/routing';
+import type { Pool, PoolKind, Stage } from '@endiveferry/settings';
+import { createLogger, createMetrics } from '@endiveferry/telemetry';
+
+import type { PoolRuntime } from './createPoolSet.js';
+import { runStage } from './runStage.js';
+import type { StageRun } from './StageHandler.js';
+
+const TOKENS = 6;
+const DEADLINE_MS = 2_000;
+const tokenAt = (offset: number) => ` w${offset}`;
+/** All that a whole stream says. @internal */
+export const wholeText = Array.from({ length: TOKENS }, (_value, index) => tokenAt(index)).join('');
+
+/** What a backend server does with the next call that it is sent. */
+type Behaviour =
+  | 'answer'
+  | 'refuse'
+  | 'unreachable'
+  | 'fail'
+  | 'cut'
+  | 'answer-to-another'
+  | 'nonsense'
+  | 'late'
+  | 'asks-first';
+
+/** What scripts draw from. @internal */
+export const behaviours: readonly Behaviour[] = [
+  'answer',
+  'refuse',
+  'unreachable',
+  'fail',
+  'cut',
+  'answer-to-another',
+  'nonsense',
+  'late',
+];
+
+const ok = (body: unknown, headers = {}): CallResult => ({
+  kind: 'answered',
+  status: 200,
+  headers,
+  body: Buffer.from(JSON.stringify(body)),
+});
+const status = (code: number): CallResult => ({
+  kind: 'answered',
+  status: code,
+  headers: {},
+  body: Buffer.alloc(0),
+});
+const lost: CallResult = { kind: 'unknown', reason: 'connection-lost', detail: 'cut' };
+
+/** A backend that plays a script, and counts what it ran. */
+function createBackend(script: readonly Behaviour[], clock = createFakeClock()) {
+  const counts = { started: 0, sent: 0 };
+  let next = 0;
+
+  function sendTokens(call: Call, from: number, to: number, id: string): void {
+    for (let offset = from; offset < to; offset += 1) {
+      const chunk = {
+        id,
+        offset,
+        choices: [
+          { text: tokenAt(offset), finish_reason: offset === TOKENS - 1 ? 'length' : null },
+        ],
+      };
+      call.onData?.(Buffer.from(`data: ${JSON.stringify(chunk)}\n\n`));
+    }
+  }
+
+  function runUnary(behaviour: Behaviour, call: Call): CallResult {
+    const id = call.headers?.['x-request-id'];
+    const results: Partial<Record<Behaviour, CallResult>> = {
+      fail: status(500),
+      cut: lost,
+      'answer-to-another': ok({ mine: 'no' }, { 'x-request-id': 'another.stage' }),
+      nonsense: { ...ok(''), kind: 'answered', status: 200, headers: {}, body: Buffer.from('{') },
+    };
+    return results[behaviour] ?? ok({ mine: id }, { 'x-request-id': id });
+  }
+
+  /** Streams repeat what was sent before now and then, as a late duplicate would. */
+  function runStream(behaviour: Behaviour, call: Call): CallResult {
+    const body = call.body as { request_id: string; resume?: { offset: number; text: string } };
+    const from = body.resume?.offset ?? 0;
+    assert.equal(body.resume?.text ?? '', wholeText.slice(0, (body.resume?.text ?? '').length));
+    const results: Partial<Record<Behaviour, () => CallResult>> = {
+      fail: () => status(500),
+      cut() {
+        sendTokens(call, from, Math.min(TOKENS, from + 2), body.request_id);
+        return lost;
+      },
+      'answer-to-another'() {
+        sendTokens(call, from, TOKENS, 'another.stage');
+        return lost;
+      },
+      nonsense() {
+        sendTokens(call, from + 1, TOKENS, body.request_id);
+        return lost;
+      },
+    };
+    const run = results[behaviour];
+    if (run !== undefined) return run();
+    sendTokens(call, Math.max(0, from - 1), TOKENS, body.request_id);
+    return status(200);
+  }
+
+  async function send(call: Call): Promise<CallResult> {
+    const behaviour = script[next] ?? 'answer';
+    next += 1;
+    if (behaviour === 'unreachable') {
+      return { kind: 'not-sent', reason: 'connect-failed', detail: 'down' };
+    }
+    if (behaviour === 'asks-first') {
+      // The process stands still between the begin of the call and its write.
+      clock.jump(DEADLINE_MS + 1);
+      if (call.maySend?.() === false) {
+        return { kind: 'not-sent', reason: 'key-unproven', detail: 'may no longer be sent' };
+      }
+    }
+    counts.sent += 1;
+    if (behaviour === 'refuse') return status(429);
+    counts.started += 1;
+    if (behaviour === 'late') {
+      await new Promise<void>((resolve) => {
+        clock.schedule(500, resolve);
+        call.signal?.addEventListener('abort', () => resolve());
+      });
+      if (call.signal?.aborted === true) return { ...lost, reason: 'cancelled' } as CallResult;
+    }
+    return call.onData === undefined ? runUnary(behaviour, call) : runStream(behaviour, call);
+  }
+  return { counts, send };
+}
+
+interface WorldOptions {
+  readonly kind: PoolKind;
+  readonly isIdempotent?: boolean;
+  readonly script: readonly Behaviour[];
+  readonly retryShare?: number;
+}
+
+/** One stage of one request, before a backend that plays a script. @internal */
+export function createStageWorld(options: WorldOptions) {
+  const clock = createFakeClock();
+  const backend = createBackend(options.script, clock);
+  let leases = 0;
+  let ended = 0;
+  const ignore = () => undefined;
+  const reserve = (): ServerLease => {
+    leases += 1;
+    const end = () => {
+      ended += 1;
+    };
+    return {
+      serverId: backendServerIdSchema.parse(`server-${leases}`),
+      send: (call) => backend.send(call),
+      recordSuccess: end,
+      recordFailure: end,
+      recordOverload: end,
+      end,
+      checkSilence: () => Promise.resolve(),
+      recordFirstToken: ignore,
+    };
+  };
+  const rankId = rankIdSchema.parse('urgent');
+  const rank = { order: 0, deadlineMs: DEADLINE_MS, floorShare: 0, worth: 1 };
+  const settings: Pool = {
+    kind: options.kind,
+    serverConcurrency: 4,
+    refusalStatuses: [429],
+    backendServers: {},
+  };
+  const retryBudget = createRetryBudget(() => options.retryShare ?? 0.1);
+  const pool: PoolRuntime = {
+    id: poolIdSchema.parse('pool'),
+    clock,
+    queue: createStageQueue({
+      clock,
+      listRanks: () => [{ id: rankId, ...rank }],
+      findWeight: () => 1,
+      findMaxWaiting: () => 100,
+      findBudget: () => 4,
+    }),
+    router: { reserve } as unknown as PoolRuntime['router'],
+    estimator: createServiceEstimator(clock),
+    retryBudget,
+    settings: () => settings,
+    findBudget: () => 4,
+  };
+  const stage: Stage = {
+    order: 1,
+    pool: pool.id,
+    path: '/do',
+    isIdempotent: options.isIdempotent ?? true,
+    expectedServiceMs: 20,
+    maxTokens: TOKENS,
+    input: {},
+  };
+  const told: string[] = [];
+  const deadline = new AbortController();
+  clock.schedule(DEADLINE_MS, () => deadline.abort());
+  const run: StageRun = {
+    request: {
+      requestId: requestIdSchema.parse('r1'),
+      pipelineId: pipelineIdSchema.parse('pipeline'),
+      pipeline: { rank: rankId, stages: {} },
+      rankId,
+      rank,
+      workspaceId: workspaceIdSchema.parse('mill'),
+      arrivedAt: 0,
+      deadlineAt: DEADLINE_MS,
+      body: {},
+      signal: deadline.signal,
+      recordEvent: ignore,
+      onProgress: (event) => {
+        if (event.type === 'token') told.push(event.text);
+      },
+    },
+    stageId: stageIdSchema.parse('stage'),
+    stage,
+    pool,
+    input: { prompt: 'plan' },
+    latestStartAt: DEADLINE_MS,
+  };
+  const accounts = {
+    metrics: createMetrics(),
+    logger: createLogger(hostIdSchema.parse('host-1'), 'error'),
+  };
+  return {
+    counts: backend.counts,
+    told,
+    retryBudget,
+    pool,
+    countOpenLeases: () => leases - ended,
+    async run() {
+      const result = runStage(run, accounts);
+      await clock.advance(DEADLINE_MS * 2);
+      return result;
+    },
+  };
+}
--- a/packages/pipeline/src/lib/runStage.test.ts
+++ b/packages/pipeline/src/lib/runStage.test.ts
@@ -1,272 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import {
-  backendServerIdSchema,
-  createFakeClock,
-  hostIdSchema,
-  pipelineIdSchema,
-  poolIdSchema,
-  rankIdSchema,
-  readPropertyOptions,
-  requestIdSchema,
-  stageIdSchema,
-  workspaceIdSchema,
-} from '@endiveferry/base';
-import {
-  createRetryBudget,
-  createServiceEstimator,
-  createStageQueue,
-} from '@endiveferry/admission';
-import type { Call, CallResult, ServerLease } from '@endiveferry/routing';
-import type { Pool, PoolKind, Stage } from '@endiveferry/settings';
-import { createLogger, createMetrics, setLogWriter } from '@endiveferry/telemetry';
+import { readPropertyOptions } from '@endiveferry/base';
+import { setLogWriter } from '@endiveferry/telemetry';
 import fc from 'fast-check';
 
-import type { PoolRuntime } from './createPoolSet.js';
-import { runStage } from './runStage.js';
-import type { StageRun } from './StageHandler.js';
+import { behaviours, createStageWorld, wholeText } from './createStageWorld.js';
 
 setLogWriter(() => undefined);
 
-const TOKENS = 6;
-const DEADLINE_MS = 2_000;
-const tokenAt = (offset: number) => ` w${offset}`;
-const wholeText = Array.from({ length: TOKENS }, (_value, index) => tokenAt(index)).join('');
-
-/** What a backend server does with the next call that it is sent. */
-type Behaviour =
-  | 'answer'
-  | 'refuse'
-  | 'unreachable'
-  | 'fail'
-  | 'cut'
-  | 'answer-to-another'
-  | 'nonsense'
-  | 'late'
-  | 'asks-first';
-
-const behaviours: readonly Behaviour[] = [
-  'answer',
-  'refuse',
-  'unreachable',
-  'fail',
-  'cut',
-  'answer-to-another',
-  'nonsense',
-  'late',
-];
-
-const ok = (body: unknown, headers = {}): CallResult => ({
-  kind: 'answered',
-  status: 200,
-  headers,
-  body: Buffer.from(JSON.stringify(body)),
-});
-const status = (code: number): CallResult => ({
-  kind: 'answered',
-  status: code,
-  headers: {},
-  body: Buffer.alloc(0),
-});
-const lost: CallResult = { kind: 'unknown', reason: 'connection-lost', detail: 'cut' };
-
-/** A backend that plays a script, and counts what it ran. */
-function createBackend(script: readonly Behaviour[], clock = createFakeClock()) {
-  const counts = { started: 0, sent: 0 };
-  let next = 0;
-
-  function sendTokens(call: Call, from: number, to: number, id: string): void {
-    for (let offset = from; offset < to; offset += 1) {
-      const chunk = {
-        id,
-        offset,
-        choices: [
-          { text: tokenAt(offset), finish_reason: offset === TOKENS - 1 ? 'length' : null },
-        ],
-      };
-      call.onData?.(Buffer.from(`data: ${JSON.stringify(chunk)}\n\n`));
-    }
-  }
-
-  function runUnary(behaviour: Behaviour, call: Call): CallResult {
-    const id = call.headers?.['x-request-id'];
-    const results: Partial<Record<Behaviour, CallResult>> = {
-      fail: status(500),
-      cut: lost,
-      'answer-to-another': ok({ mine: 'no' }, { 'x-request-id': 'another.stage' }),
-      nonsense: { ...ok(''), kind: 'answered', status: 200, headers: {}, body: Buffer.from('{') },
-    };
-    return results[behaviour] ?? ok({ mine: id }, { 'x-request-id': id });
-  }
-
-  /** Streams repeat what was sent before now and then, as a late duplicate would. */
-  function runStream(behaviour: Behaviour, call: Call): CallResult {
-    const body = call.body as { request_id: string; resume?: { offset: number; text: string } };
-    const from = body.resume?.offset ?? 0;
-    assert.equal(body.resume?.text ?? '', wholeText.slice(0, (body.resume?.text ?? '').length));
-    const results: Partial<Record<Behaviour, () => CallResult>> = {
-      fail: () => status(500),
-      cut() {
-        sendTokens(call, from, Math.min(TOKENS, from + 2), body.request_id);
-        return lost;
-      },
-      'answer-to-another'() {
-        sendTokens(call, from, TOKENS, 'another.stage');
-        return lost;
-      },
-      nonsense() {
-        sendTokens(call, from + 1, TOKENS, body.request_id);
-        return lost;
-      },
-    };
-    const run = results[behaviour];
-    if (run !== undefined) return run();
-    sendTokens(call, Math.max(0, from - 1), TOKENS, body.request_id);
-    return status(200);
-  }
-
-  async function send(call: Call): Promise<CallResult> {
-    const behaviour = script[next] ?? 'answer';
-    next += 1;
-    if (behaviour === 'unreachable') {
-      return { kind: 'not-sent', reason: 'connect-failed', detail: 'down' };
-    }
-    if (behaviour === 'asks-first') {
-      // The process stands still between the begin of the call and its write.
-      clock.jump(DEADLINE_MS + 1);
-      if (call.maySend?.() === false) {
-        return { kind: 'not-sent', reason: 'key-unproven', detail: 'may no longer be sent' };
-      }
-    }
-    counts.sent += 1;
-    if (behaviour === 'refuse') return status(429);
-    counts.started += 1;
-    if (behaviour === 'late') {
-      await new Promise<void>((resolve) => {
-        clock.schedule(500, resolve);
-        call.signal?.addEventListener('abort', () => resolve());
-      });
-      if (call.signal?.aborted === true) return { ...lost, reason: 'cancelled' } as CallResult;
-    }
-    return call.onData === undefined ? runUnary(behaviour, call) : runStream(behaviour, call);
-  }
-  return { counts, send };
-}
-
-interface WorldOptions {
-  readonly kind: PoolKind;
-  readonly isIdempotent?: boolean;
-  readonly script: readonly Behaviour[];
-  readonly retryShare?: number;
-}
-
-function createWorld(options: WorldOptions) {
-  const clock = createFakeClock();
-  const backend = createBackend(options.script, clock);
-  let leases = 0;
-  let ended = 0;
-  const ignore = () => undefined;
-  const reserve = (): ServerLease => {
-    leases += 1;
-    const end = () => {
-      ended += 1;
-    };
-    return {
-      serverId: backendServerIdSchema.parse(`server-${leases}`),
-      send: (call) => backend.send(call),
-      recordSuccess: end,
-      recordFailure: end,
-      recordOverload: end,
-      end,
-      checkSilence: () => Promise.resolve(),
-      recordFirstToken: ignore,
-    };
-  };
-  const rankId = rankIdSchema.parse('urgent');
-  const rank = { order: 0, deadlineMs: DEADLINE_MS, floorShare: 0, worth: 1 };
-  const settings: Pool = {
-    kind: options.kind,
-    serverConcurrency: 4,
-    refusalStatuses: [429],
-    backendServers: {},
-  };
-  const retryBudget = createRetryBudget(() => options.retryShare ?? 0.1);
-  const pool: PoolRuntime = {
-    id: poolIdSchema.parse('pool'),
-    clock,
-    queue: createStageQueue({
-      clock,
-      listRanks: () => [{ id: rankId, ...rank }],
-      findWeight: () => 1,
-      findMaxWaiting: () => 100,
-      findBudget: () => 4,
-    }),
-    router: { reserve } as unknown as PoolRuntime['router'],
-    estimator: createServiceEstimator(clock),
-    retryBudget,
-    settings: () => settings,
-    findBudget: () => 4,
-  };
-  const stage: Stage = {
-    order: 1,
-    pool: pool.id,
-    path: '/do',
-    isIdempotent: options.isIdempotent ?? true,
-    expectedServiceMs: 20,
-    maxTokens: TOKENS,
-    input: {},
-  };
-  const told: string[] = [];
-  const deadline = new AbortController();
-  clock.schedule(DEADLINE_MS, () => deadline.abort());
-  const run: StageRun = {
-    request: {
-      requestId: requestIdSchema.parse('r1'),
-      pipelineId: pipelineIdSchema.parse('pipeline'),
-      pipeline: { rank: rankId, stages: {} },
-      rankId,
-      rank,
-      workspaceId: workspaceIdSchema.parse('mill'),
-      arrivedAt: 0,
-      deadlineAt: DEADLINE_MS,
-      body: {},
-      signal: deadline.signal,
-      recordEvent: ignore,
-      onProgress: (event) => {
-        if (event.type === 'token') told.push(event.text);
-      },
-    },
-    stageId: stageIdSchema.parse('stage'),
-    stage,
-    pool,
-    input: { prompt: 'plan' },
-    latestStartAt: DEADLINE_MS,
-  };
-  const accounts = {
-    metrics: createMetrics(),
-    logger: createLogger(hostIdSchema.parse('host-1'), 'error'),
-  };
-  return {
-    counts: backend.counts,
-    told,
-    retryBudget,
-    pool,
-    countOpenLeases: () => leases - ended,
-    async run() {
-      const result = runStage(run, accounts);
-      await clock.advance(DEADLINE_MS * 2);
-      return result;
-    },
-  };
-}
-
 const scriptArbitrary = fc.array(fc.constantFrom(...behaviours), { maxLength: 6 });
 
 test('property: a call that may not be repeated starts at most once, and not-run is true', async () => {
   await fc.assert(
     fc.asyncProperty(scriptArbitrary, async (script) => {
-      const world = createWorld({ kind: 'plain-service', isIdempotent: false, script });
+      const world = createStageWorld({ kind: 'plain-service', isIdempotent: false, script });
       const result = await world.run();
       assert.ok(world.counts.started <= 1);
       if (result.isOk()) assert.deepEqual(result.value.output, { mine: 'r1.stage' });
@@ -281,7 +29,7 @@
 test('property: a repeatable stage gives its own result once, within the retry budget', async () => {
   await fc.assert(
     fc.asyncProperty(scriptArbitrary, async (script) => {
-      const world = createWorld({ kind: 'plain-service', script });
+      const world = createStageWorld({ kind: 'plain-service', script });
       const result = await world.run();
       if (result.isOk()) assert.deepEqual(result.value.output, { mine: 'r1.stage' });
       else if (result.error.execution === 'not-run') assert.equal(world.counts.started, 0);
@@ -296,7 +44,7 @@
 test('property: no token of a stream is lost, doubled or another request’s', async () => {
   await fc.assert(
     fc.asyncProperty(scriptArbitrary, async (script) => {
-      const world = createWorld({ kind: 'model-engine', script });
+      const world = createStageWorld({ kind: 'model-engine', script });
       const result = await world.run();
       const told = world.told.join('');
       assert.equal(told, wholeText.slice(0, told.length));
@@ -308,7 +56,7 @@
 });
 
 test('without budget a failed try is the last one', async () => {
-  const world = createWorld({ kind: 'plain-service', script: ['fail', 'answer'] });
+  const world = createStageWorld({ kind: 'plain-service', script: ['fail', 'answer'] });
   while (world.retryBudget.tryWithdraw());
   const result = await world.run();
   assert.ok(result.isErr());
@@ -316,7 +64,7 @@
 });
 
 test('a call that may not be repeated is not written after its deadline, as after a pause', async () => {
-  const world = createWorld({
+  const world = createStageWorld({
     kind: 'plain-service',
     isIdempotent: false,
     script: ['asks-first'],
@@ -327,7 +75,7 @@
 });
 
 test('a slow call is hedged, and the first good answer is taken', async () => {
-  const world = createWorld({ kind: 'plain-service', script: ['late', 'answer'] });
+  const world = createStageWorld({ kind: 'plain-service', script: ['late', 'answer'] });
   const result = await world.run();
   assert.ok(result.isOk());
   assert.equal(world.counts.started, 2);
--- a/tools/run-soak.mjs
+++ b/tools/run-soak.mjs
@@ -6,7 +6,7 @@
   options: { seed: { type: 'string', default: '1' }, runs: { type: 'string', default: '5000' } },
 });
 const files = [
-  'packages/claims/dist/lib/createClaims.test.js',
+  'packages/claims/dist/lib/claimsSchedule.test.js',
   'packages/admission/dist/lib/createStageQueue.test.js',
   'packages/admission/dist/lib/apportionSlots.test.js',
   'packages/admission/dist/lib/createRetryBudget.test.js',
