Explain requests from logs of any length

The lines of a file were handed over as arguments of one call, which overflows the stack from some hundred thousand on. Test: 'a log of many thousand lines ended explain with a stack overflow' failed before.

--- a/apps/cli/src/lib/hostCommands.ts
+++ b/apps/cli/src/lib/hostCommands.ts
@@ -200,8 +200,10 @@
     const lines: LogLine[] = [];
     for (const file of files) {
       try {
-        const texts = readFileSync(file, 'utf8').split('\n');
-        lines.push(...texts.flatMap((text) => parseLogLine(text) ?? []));
+        for (const text of readFileSync(file, 'utf8').split('\n')) {
+          const line = parseLogLine(text);
+          if (line !== undefined) lines.push(line);
+        }
       } catch (error) {
         return this.fail(`${file} cannot be read: ${describeError(error)}`);
       }
--- a/apps/cli/src/lib/runCli.test.ts
+++ b/apps/cli/src/lib/runCli.test.ts
@@ -88,3 +88,15 @@
     assert.match(output, new RegExp(`endiveferry ${name}`));
   }
 });
+
+test('a log of many thousand lines ended explain with a stack overflow', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'endiveferry-'));
+  const file = join(folder, 'hosts.log');
+  const createLine = (requestId: string) =>
+    JSON.stringify({ context: { host: 'a', requestId }, message: 'request ended', time: 1 });
+  await writeFile(file, `${createLine('r0')}\n`.repeat(200_000) + createLine('r1'));
+  const { exitCode, output } = await run('explain', 'r1', '--log', file);
+  await rm(folder, { recursive: true });
+  assert.equal(exitCode, 0, output);
+  assert.match(output, /^r1: a answered/);
+});
