Log and count what distinguishes the causes of late and wasted work

Callers saw: requests that ran after they had left, and queries that were late. The logs could not tell whether a host read a request late, queued its call for a connection, or missed that the caller had left; nor whether hosts disagreed on a dispatcher or gave up on a late one.

- `request ended` has the times of the first write to a server and of the disconnect, and the longest recent event loop delay; failed attempts have the time that they waited for a connection.
- dispatchers log stage requests that another host is preferred for, and how many pieces of a call nobody waits for any more; hosts log how long a dispatcher did not reply.
- counters of disconnects, stage requests, piece calls and unused results.

--- a/apps/bench/src/lib/loads/replayStageLoad.ts
+++ b/apps/bench/src/lib/loads/replayStageLoad.ts
@@ -12,6 +12,7 @@
 } from '@endiveferry/base';
 import {
   createPieceDispatcher,
+  createRelayMetrics,
   findWaitMs,
   runStages,
   type ListedServer,
@@ -20,7 +21,7 @@
   type Route,
   type StageClient,
 } from '@endiveferry/relay';
-import { createLogger } from '@endiveferry/telemetry';
+import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
 import {
   createReplica,
@@ -107,6 +108,7 @@
     poolId,
     clock,
     logger: createLogger(hostIdSchema.parse('model'), 'error'),
+    metrics: createRelayMetrics(createMetrics()),
     sendPieces: (server, pieces) => {
       const replica = servers.find((candidate) => candidate.server.serverId === server.serverId);
       if (replica === undefined) return Promise.resolve({ kind: 'gone' });
--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -7,6 +7,7 @@
   type PieceDispatcher,
   type BatchOutcome,
   type ListedServer,
+  type RelayMetrics,
   type RelayPool,
   type WireProtocol,
 } from '@endiveferry/relay';
@@ -34,6 +35,7 @@
 export interface DispatchersOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: RelayMetrics;
   readonly protocol: WireProtocol;
   readonly backends: Backends;
   /** Called when another server responds at the address of a listed one. */
@@ -107,6 +109,7 @@
             poolId,
             clock,
             logger,
+            metrics: options.metrics,
             sendPieces,
             sendFree,
             onServerReplaced: options.onServerReplaced,
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -1,14 +1,12 @@
 import { randomBytes } from 'node:crypto';
 
 import {
-  createStallMonitor,
   createRandom,
   createSupervisor,
   createSystemClock,
   describeError,
   hostIdSchema,
   processIdSchema,
-  waitFor,
   type BackendServerId,
   type PoolId,
 } from '@endiveferry/base';
@@ -16,6 +14,7 @@
   createBackends,
   createConfigurationTracker,
   createFleet,
+  createRelayMetrics,
   createRelayService,
   createServerList,
   createStageClient,
@@ -32,20 +31,11 @@
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
 import { createDispatchers } from './createDispatchers.js';
+import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createMetricsListener } from './createMetricsListener.js';
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
-
-/** Shortest event loop stall after which connections are replaced, in milliseconds. */
-const MIN_STALL_MS = 1_000;
-/**
- * Time for the load balancer to send new connections elsewhere, in milliseconds: two health checks
- * and a margin.
- */
-const BALANCER_SWITCH_MS = 2_700;
-/** Part of the grace period reserved for aborting remaining requests and exiting, in milliseconds. */
-const SHUTDOWN_MARGIN_MS = 400;
-const STOP_POLL_INTERVAL_MS = 50;
+import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
 export interface RelayHostOptions {
@@ -91,6 +81,13 @@
   const processId = processIdSchema.parse(randomBytes(6).toString('hex'));
   const logger = createLogger(hostIdSchema.parse(environment.hostName), 'info');
   const metrics = createMetrics();
+  const relayMetrics = createRelayMetrics(metrics);
+  const loopDelays = createLoopDelayMonitor({
+    clock,
+    logger,
+    metrics,
+    onStall: replaceConnections,
+  });
   const supervisor = createSupervisor(environment.hostName, {
     clock,
     onCrash: (path, error) =>
@@ -117,6 +114,7 @@
   const dispatchers = createDispatchers({
     clock,
     logger,
+    metrics: relayMetrics,
     protocol,
     backends,
     onServerReplaced,
@@ -128,6 +126,7 @@
   const stages = createStageClient({
     clock,
     logger,
+    metrics: relayMetrics,
     findFleet,
     findDispatcher: dispatchers.find,
     recordWaits: waits.record,
@@ -138,6 +137,8 @@
     random,
     logger,
     metrics,
+    relayMetrics,
+    findLoopDelayMs: loopDelays.findRecentMs,
     protocol,
     configurationTracker,
     backends,
@@ -247,7 +248,7 @@
     readiness: await readiness.listen(environment.readinessAddress),
     metrics: await metricsListener.listen(options.metricsAddress),
   };
-  supervisor.spawn('pauses', createStallMonitor(clock, MIN_STALL_MS, replaceConnections));
+  supervisor.spawn('pauses', loopDelays.run);
   logger.info('started', {
     process: processId,
     callers: environment.callersAddress,
@@ -255,19 +256,6 @@
     seeds: [...environment.seeds],
   });
 
-  async function waitUntilDrained(since: number): Promise<void> {
-    const endAt = since + environment.graceMs - SHUTDOWN_MARGIN_MS;
-    for (;;) {
-      await waitFor(clock, STOP_POLL_INTERVAL_MS);
-      const hasBalancerSwitched = clock.now() - since >= BALANCER_SWITCH_MS;
-      // New requests on open connections could be aborted at the end of the grace period. Other
-      // hosts can still serve them.
-      isRejecting = hasBalancerSwitched;
-      const isIdle = service.countActive() === 0 && dispatchers.countWaiting() === 0;
-      if ((hasBalancerSwitched && isIdle) || clock.now() >= endAt) return;
-    }
-  }
-
   return {
     addresses,
     async close() {
@@ -286,7 +274,13 @@
         graceMs: environment.graceMs,
       });
       fleet.announce();
-      await waitUntilDrained(since);
+      await waitUntilDrained({
+        clock,
+        since,
+        graceMs: environment.graceMs,
+        isIdle: () => service.countActive() === 0 && dispatchers.countWaiting() === 0,
+        onBalancerSwitched: () => (isRejecting = true),
+      });
       logger.info('stopped', {
         cutOff: service.countActive(),
         durationMs: Math.round(clock.now() - since),
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -6,6 +6,7 @@
   waitFor,
   type Clock,
 } from './lib/clock.js';
+export { createDelayTracker, type DelayTracker } from './lib/createDelayTracker.js';
 export { createFakeClock, type FakeClock } from './lib/createFakeClock.js';
 export { createStallMonitor } from './lib/createStallMonitor.js';
 export { createRandom, type Random } from './lib/createRandom.js';
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -9,6 +9,11 @@
   type ActiveConfiguration,
 } from './lib/createConfigurationTracker.js';
 export { createFleet, type Fleet, type FleetOptions } from './lib/createFleet.js';
+export {
+  createRelayMetrics,
+  type RelayMetrics,
+  type StageRequestOutcome,
+} from './lib/createRelayMetrics.js';
 export {
   createRelayService,
   type RelayService,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -78,4 +78,9 @@
    * Monotonic time at which the first event was forwarded, in milliseconds; undefined if none was.
    */
   readonly firstEventAt: number | undefined;
+  /**
+   * Monotonic time at which the request was first written to a backend server, in milliseconds;
+   * undefined if it never was.
+   */
+  readonly sentAt: number | undefined;
 }
--- /dev/null
+++ b/packages/relay/src/lib/ForwardState.ts
@@ -0,0 +1,25 @@
+import type { BackendServerId, Execution } from '@endiveferry/base';
+
+import type { RunningCall } from './createBackends.js';
+import type { StreamRelay } from './createStreamRelay.js';
+import type { ForwardOptions, ForwardRequest } from './ForwardRequest.js';
+
+/** State of a request while it is forwarded. @internal */
+export interface ForwardState {
+  /** Replaced when its inputs are renewed. */
+  request: ForwardRequest;
+  readonly options: ForwardOptions;
+  readonly relay: StreamRelay;
+  readonly attemptedIds: Set<BackendServerId>;
+  sentAttempts: number;
+  connectFailures: number;
+  execution: Execution;
+  firstEventAt: number | undefined;
+  /** Time of the first write to a backend server. */
+  sentAt: number | undefined;
+  /** Time that the current attempt waited for a connection, in milliseconds. */
+  connectMs: number | undefined;
+  lastEventAt: number;
+  running: RunningCall | undefined;
+  hasRenewedInputs: boolean;
+}
--- /dev/null
+++ b/packages/relay/src/lib/createRelayMetrics.ts
@@ -0,0 +1,61 @@
+import type { PoolId } from '@endiveferry/base';
+import type { Metrics } from '@endiveferry/telemetry';
+
+import type { BatchOutcome } from './pieces/PieceDispatcher.js';
+
+/**
+ * How a stage request to a dispatcher ended.
+ *
+ * - `answered`: the dispatcher replied.
+ * - `unanswered`: no reply arrived, and the stage was sent elsewhere if there was time left.
+ * - `abandoned`: the requesting host went away or withdrew the request before it ended.
+ *
+ * @public
+ */
+export type StageRequestOutcome = 'answered' | 'unanswered' | 'abandoned';
+
+/** Counters of what becomes of requests and of work at stages. @public */
+export interface RelayMetrics {
+  /** Counts a caller that disconnected before its response was complete. */
+  recordDisconnect(wasSent: boolean): void;
+  recordStageRequest(poolId: PoolId, outcome: StageRequestOutcome): void;
+  recordPieceCall(poolId: PoolId, outcome: BatchOutcome['kind']): void;
+  /** Counts results that no request needed any more when they were made. */
+  recordUnusedResult(poolId: PoolId): void;
+}
+
+/**
+ * Registers the counters of a relay host.
+ *
+ * @param metrics - metrics of the host, in which none of these counters is registered yet
+ * @returns the counters
+ * @public
+ */
+export function createRelayMetrics(metrics: Pick<Metrics, 'registerCounter'>): RelayMetrics {
+  const disconnects = metrics.registerCounter(
+    'endiveferry_disconnects_total',
+    'callers that disconnected early, by whether their request had been sent to a backend server',
+    ['sent'],
+  );
+  const stageRequests = metrics.registerCounter(
+    'endiveferry_stage_requests_total',
+    'requests between hosts to run a stage',
+    ['pool', 'outcome'],
+  );
+  const pieceCalls = metrics.registerCounter(
+    'endiveferry_piece_calls_total',
+    'batched piece calls to replicas',
+    ['pool', 'outcome'],
+  );
+  const unusedResults = metrics.registerCounter(
+    'endiveferry_unused_results_total',
+    'results that were no longer needed when they were made',
+    ['pool'],
+  );
+  return {
+    recordDisconnect: (wasSent) => disconnects({ sent: String(wasSent) }),
+    recordStageRequest: (pool, outcome) => stageRequests({ pool, outcome }),
+    recordPieceCall: (pool, outcome) => pieceCalls({ pool, outcome }),
+    recordUnusedResult: (pool) => unusedResults({ pool }),
+  };
+}
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -21,6 +21,7 @@
 import type { StageClient } from './createStageClient.js';
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
+import type { RelayMetrics } from './createRelayMetrics.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import type { HostEnvironment, CallerRequest, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
@@ -51,6 +52,9 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly relayMetrics: Pick<RelayMetrics, 'recordDisconnect'>;
+  /** Returns the longest recent delay of this process's event loop, in milliseconds. */
+  readonly findLoopDelayMs: () => number;
   readonly protocol: WireProtocol;
   readonly configurationTracker: ConfigurationTracker;
   readonly backends: Backends;
@@ -126,7 +130,7 @@
     const prepared = await inputs.prepare(admitted, signal);
     if (prepared.isErr()) {
       const sent = sendFailure(prepared.error, admitted.metadata.requestId, responder, options);
-      return { ...sent, servers: [], firstEventAt: undefined };
+      return { ...sent, servers: [], firstEventAt: undefined, sentAt: undefined };
     }
     let output = prepared.value;
     let preparedAt = clock.now();
@@ -183,8 +187,16 @@
   }
 
   /** Records metrics and logs one line: the decision, the state it is based on, and the outcome. */
-  function recordOutcome(admitted: AdmittedRequest, outcome: ForwardOutcome): void {
+  function recordOutcome(
+    admitted: AdmittedRequest,
+    outcome: ForwardOutcome,
+    disconnectedAt: number | undefined,
+  ): void {
     const { metadata, route, workspace, arrivedAt } = admitted;
+    if (disconnectedAt !== undefined)
+      options.relayMetrics.recordDisconnect(outcome.sentAt !== undefined);
+    const computeSinceArrival = (at: number | undefined) =>
+      at === undefined ? undefined : Math.round(at - arrivedAt);
     const durationMs = clock.now() - arrivedAt;
     const firstEventMs = (outcome.firstEventAt ?? clock.now()) - arrivedAt;
     const { failure } = outcome;
@@ -214,6 +226,9 @@
       detail: failure?.detail,
       retryAfterMs: failure?.retryAfterMs,
       backendServers: outcome.servers,
+      sentMs: computeSinceArrival(outcome.sentAt),
+      disconnectedMs: computeSinceArrival(disconnectedAt),
+      loopDelayMs: Math.round(options.findLoopDelayMs()),
       firstMs: Math.round(firstEventMs),
       durationMs: Math.round(durationMs),
       targetMs: route.targetLatencyMs,
@@ -247,7 +262,12 @@
       });
       return;
     }
-    recordOutcome(admitted.value, await serveAdmitted(admitted.value, responder, signal));
+    let disconnectedAt: number | undefined;
+    const recordDisconnect = () => (disconnectedAt = clock.now());
+    signal.addEventListener('abort', recordDisconnect, { once: true });
+    const outcome = await serveAdmitted(admitted.value, responder, signal);
+    signal.removeEventListener('abort', recordDisconnect);
+    recordOutcome(admitted.value, outcome, disconnectedAt);
   }
 
   return {
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
+import type { RelayMetrics } from './createRelayMetrics.js';
 import type { Fleet, HandleFleetRequest } from './createFleet.js';
 import {
   cancelPiecesSchema,
@@ -62,6 +63,7 @@
   readonly findFleet: () => Fleet;
   /** Finds the dispatcher of a pool on this host. */
   readonly findDispatcher: (poolId: PoolId) => PieceDispatcher | undefined;
+  readonly metrics: Pick<RelayMetrics, 'recordStageRequest'>;
   /** Records the waiting times that a dispatcher on another host reports. */
   readonly recordWaits: (waits: ReportedWaits) => void;
 }
@@ -143,9 +145,11 @@
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, runRequest.remainingMs) + REPLY_MARGIN_MS;
     fetchHandlers.set(orderId, onInputsFetched);
+    const sentAt = clock.now();
     const reply = await findFleet().request(hostId, 'run-pieces', runRequest, timeoutMs);
     fetchHandlers.delete(orderId);
     signal.removeEventListener('abort', cancel);
+    options.metrics.recordStageRequest(poolId, reply.isOk() ? 'answered' : 'unanswered');
     if (reply.isOk()) {
       const { outcome, byRank } = runPiecesReplySchema.parse(reply.value);
       options.recordWaits({ poolId, ageMs: 0, byRank });
@@ -153,8 +157,10 @@
     }
     logger.warn('stage request to dispatcher failed', {
       requestId: group.requestId,
+      orderId,
       pool: poolId,
       peer: hostId,
+      waitedMs: Math.round(clock.now() - sentAt),
       detail: reply.error.detail,
     });
     return undefined;
@@ -167,6 +173,16 @@
     if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
     const controller = new AbortController();
     abortControllers.set(orderId, controller);
+    const [preferredHost] = findFleet().listDispatchers(poolId);
+    if (preferredHost !== findFleet().hostId) {
+      logger.info('stage request received, although another host is preferred', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+        preferred: preferredHost,
+      });
+    }
     const { key, inputs, homeZone } = rest;
     const group = {
       ...rest,
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -2,81 +2,26 @@
   createNotRunFailure,
   mergeExecution,
   NO_LONGER_NEEDED,
-  waitFor,
-  type BackendServerId,
-  type Execution,
   type Failure,
 } from '@endiveferry/base';
 import type { ResponseStart } from '@endiveferry/routing';
 
-import type { Backend, RunningCall } from './createBackends.js';
+import type { Backend } from './createBackends.js';
 import type {
   ChosenBackend,
   ForwardOutcome,
   ForwardOptions,
   ForwardRequest,
 } from './ForwardRequest.js';
-import { createStreamRelay, type StreamRelay } from './createStreamRelay.js';
+import { createStreamRelay } from './createStreamRelay.js';
+import { abortOnTimeout } from './abortOnTimeout.js';
+import type { ForwardState } from './ForwardState.js';
 import { getExecution, classifyAttempt, type AttemptOutcome } from './classifyAttempt.js';
 import { isRepeatable } from './RelayConfiguration.js';
 import { sendFailure } from './sendFailure.js';
 
 /** Number of failed connection attempts after which a request fails. */
 const MAX_CONNECT_FAILURES = 3;
-/** Multiple of the target latency after which an unanswered repeatable request is retried. */
-const RETRY_TIMEOUT_FACTOR = 1.5;
-/** Lower bound of that timeout, in milliseconds. */
-const MIN_RETRY_TIMEOUT_MS = 150;
-/** Lower bound of the first-event timeout of a resumable stream, in milliseconds. */
-const MIN_STREAM_TIMEOUT_MS = 2_500;
-/** Longest gap between events before a resumable stream is resumed elsewhere, in milliseconds. */
-const EVENT_TIMEOUT_MS = 1_500;
-
-interface ForwardState {
-  /** Replaced when its inputs are renewed. */
-  request: ForwardRequest;
-  readonly options: ForwardOptions;
-  readonly relay: StreamRelay;
-  readonly attemptedIds: Set<BackendServerId>;
-  sentAttempts: number;
-  connectFailures: number;
-  execution: Execution;
-  firstEventAt: number | undefined;
-  lastEventAt: number;
-  running: RunningCall | undefined;
-  hasRenewedInputs: boolean;
-}
-
-/** Aborts an attempt at its deadline, or at a retry timeout without data if it may be retried. */
-async function abortOnTimeout(
-  state: ForwardState,
-  controller: AbortController,
-  mayRetry: boolean,
-): Promise<void> {
-  const { request, options } = state;
-  const startedAt = options.clock.now();
-  while (!controller.signal.aborted) {
-    const hasStarted = request.responder.hasStarted();
-    const endAt = hasStarted ? request.streamEndAt : request.endAt;
-    const timeoutMs = getRetryTimeoutMs(state);
-    const silentSince = Math.max(startedAt, hasStarted ? state.lastEventAt : 0);
-    const wakeAt = mayRetry ? Math.min(endAt, silentSince + timeoutMs) : endAt;
-    const now = options.clock.now();
-    if (now >= wakeAt) {
-      controller.abort(NO_LONGER_NEEDED);
-      return;
-    }
-    await waitFor(options.clock, wakeAt - now, controller.signal);
-  }
-}
-
-function getRetryTimeoutMs({ request }: ForwardState): number {
-  const { route, responder } = request;
-  if (responder.hasStarted()) return EVENT_TIMEOUT_MS;
-  if (route.kind === 'streaming') return Math.max(MIN_STREAM_TIMEOUT_MS, route.targetLatencyMs);
-  return Math.max(MIN_RETRY_TIMEOUT_MS, route.targetLatencyMs * RETRY_TIMEOUT_FACTOR);
-}
-
 function startStream(state: ForwardState, start: ResponseStart): boolean {
   const { request, options, relay } = state;
   const metadata = options.protocol.parseResponse(start.status, start.headers);
@@ -103,7 +48,9 @@
   const stream = { hasStarted: false };
   const deadlineAt = route.kind === 'streaming' ? request.streamEndAt : request.endAt;
   const running = backend.startCall(promptTokens);
+  const startedAt = options.clock.now();
   state.running = running;
+  state.connectMs = undefined;
   const result = await backend.connections.send({
     method: callerRequest.method,
     path: callerRequest.target,
@@ -117,6 +64,11 @@
     }),
     ...(callerRequest.body.length > 0 ? { rawBody: callerRequest.body } : {}),
     signal: controller.signal,
+    onSent() {
+      const now = options.clock.now();
+      state.sentAt ??= now;
+      state.connectMs = now - startedAt;
+    },
     onStart(start) {
       stream.hasStarted = startStream(state, start);
       return stream.hasStarted;
@@ -154,6 +106,7 @@
     outcome: outcome.kind,
     execution: getExecution(outcome),
     detail: 'detail' in outcome ? outcome.detail : `status ${outcome.response.status}`,
+    connectMs: state.connectMs === undefined ? undefined : Math.round(state.connectMs),
     tries: state.sentAttempts,
     events: state.relay.countEvents(),
   });
@@ -212,7 +165,11 @@
 function sendResponse(state: ForwardState, outcome: AttemptOutcome | undefined): ForwardOutcome {
   const { request, options } = state;
   const { responder } = request;
-  const common = { servers: [...state.attemptedIds], firstEventAt: state.firstEventAt };
+  const common = {
+    servers: [...state.attemptedIds],
+    firstEventAt: state.firstEventAt,
+    sentAt: state.sentAt,
+  };
   if (outcome?.kind === 'success' || outcome?.kind === 'failure-answer') {
     const { status, headers, body } = outcome.response;
     if (!responder.hasStarted()) {
@@ -266,6 +223,8 @@
     connectFailures: 0,
     execution: 'not-run',
     firstEventAt: undefined,
+    sentAt: undefined,
+    connectMs: undefined,
     lastEventAt: 0,
     running: undefined,
     hasRenewedInputs: false,
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '@endiveferry/telemetry';
 import type { Result } from 'neverthrow';
 
+import type { RelayMetrics } from '../createRelayMetrics.js';
 import type { PieceRequest, PieceOutcome } from '../ports.js';
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
 import type { EstimateWaitMs, RankWait } from './RankWait.js';
@@ -59,6 +60,7 @@
   readonly poolId: PoolId;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Pick<RelayMetrics, 'recordPieceCall' | 'recordUnusedResult'>;
   readonly sendPieces: (
     server: ListedServer,
     pieces: readonly PieceRequest[],
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -10,8 +10,9 @@
   requestIdSchema,
   type BackendServerId,
 } from '@endiveferry/base';
-import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+import { createLogger, createMetrics, setLogWriter } from '@endiveferry/telemetry';
 
+import { createRelayMetrics } from '../createRelayMetrics.js';
 import type { PieceRequest } from '../ports.js';
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
 import { createPieceDispatcher } from './createPieceDispatcher.js';
@@ -58,6 +59,7 @@
     poolId: poolIdSchema.parse('pool'),
     clock,
     logger: createLogger(hostIdSchema.parse('host'), 'error'),
+    metrics: createRelayMetrics(createMetrics()),
     sendPieces: (server, pieces) =>
       new Promise((resolve) => {
         calls.push({ server, pieces, end: resolve });
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -167,11 +167,13 @@
     replica.endCall(bytes);
     cancelFetchTimer();
     const measuredMs = clock.now() - startedAt;
+    options.metrics.recordPieceCall(poolId, callOutcome.kind);
     logger.info('batched piece call ended', {
       requestIds: parts.map(({ entry }) => entry.group.requestId),
       pool: poolId,
       backendServer: replica.server().serverId,
       pieces: slots.length,
+      unwanted: slots.filter(({ entry }) => entry.isSettled).length,
       waiting: queue.countWaiting(),
       slowness: Number(replica.slowness().toFixed(2)),
       freeBytes: replica.freeBytes({ callMs, pieceMs, resultTtlMs, ...rest }),
@@ -197,7 +199,9 @@
   function storeResult(replica: ReplicaState, slot: CallSlot, handle: string, ttlMs: number): void {
     const result = { serverId: replica.server().serverId, handle };
     replica.addResult(handle, slot.entry.group.resultBytes, ttlMs);
-    if (!queue.recordResult(slot, result)) free([result]);
+    if (queue.recordResult(slot, result)) return;
+    options.metrics.recordUnusedResult(poolId);
+    free([result]);
   }
 
   const pieceFailureHandlers: Record<
--- a/packages/relay/src/lib/pieces/dispatcherInvariants.test.ts
+++ b/packages/relay/src/lib/pieces/dispatcherInvariants.test.ts
@@ -13,10 +13,11 @@
   type Failure,
   type Random,
 } from '@endiveferry/base';
-import { createLogger, setLogWriter } from '@endiveferry/telemetry';
+import { createLogger, createMetrics, setLogWriter } from '@endiveferry/telemetry';
 import fc from 'fast-check';
 import type { Result } from 'neverthrow';
 
+import { createRelayMetrics } from '../createRelayMetrics.js';
 import type { PieceRequest, PieceOutcome } from '../ports.js';
 import type { ListedServer } from '../RelayConfiguration.js';
 import { createPieceDispatcher } from './createPieceDispatcher.js';
@@ -94,6 +95,7 @@
     poolId,
     clock,
     logger: createLogger(hostIdSchema.parse('host'), 'error'),
+    metrics: createRelayMetrics(createMetrics()),
     sendPieces: (_server, pieces, timeoutMs) => replicas.send(pieces, timeoutMs),
     sendFree: (_server, handles) => {
       for (const handle of handles) replicas.freed.add(handle);
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -27,6 +27,8 @@
   readonly signal?: AbortSignal;
   /** Checked right before the call is written; the call is not sent if it returns `false`. */
   readonly maySend?: (() => boolean) | undefined;
+  /** Called when the call is about to be written to a connection. */
+  readonly onSent?: () => void;
   /** Called with each chunk of the body of a streamed response. */
   readonly onData?: (chunk: Buffer) => void;
   /** Decides whether a response is streamed; defaults to those of status 200 if `onData` is set. */
@@ -113,7 +115,10 @@
       else if (call.maySend?.() === false) {
         const detail = 'this host may no longer run the call';
         controller.abort(new CallAbortedError('key-unproven', detail));
-      } else wasSent = true;
+      } else {
+        wasSent = true;
+        call.onSent?.();
+      }
     },
     onResponseStart(controller, statusCode, responseHeaders) {
       // Interim responses precede the final one.
--- a/packages/telemetry/src/lib/createMetrics.ts
+++ b/packages/telemetry/src/lib/createMetrics.ts
@@ -62,6 +62,12 @@
   recordFirstToken(rankId: RankId, durationMs: number): void;
   /** Registers a gauge whose values are read at each scrape. */
   registerGauge(name: string, help: string, read: () => readonly GaugeValue[]): void;
+  /** Registers a counter and returns the function that increases it, by 1 by default. */
+  registerCounter<Label extends string>(
+    name: string,
+    help: string,
+    labels: readonly Label[],
+  ): (values: Readonly<Record<Label, string>>, count?: number) => void;
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string>;
 }
@@ -211,6 +217,10 @@
         },
       });
     },
+    registerCounter(name, help, labels) {
+      const counter = new Counter({ name, help, labelNames: [...labels], registers });
+      return (values, count = 1) => counter.inc({ ...values }, count);
+    },
     format: () => registry.metrics(),
   };
 }
