Read a caller's connection to its end before work is done for its request

Cause: a host whose event loop is late finds a request and the end of its connection in the socket together. It read the request, and sent it in the same turn; the end was read one turn later. Evidence: a lookup was sent to a host at 11.632 s, its caller left at 12.128, it reached a server at 13.300; the host's line has it 336 ms before 13.365, so it was read at 13.03, when the end had been there for 0.9 s. Ruled out for this case: a queue for connections (336 ms would include it) and a missed abort (the abort came, at 13.365).

Fix: before stages, and before every attempt, the service waits until the sockets were polled once more, unless that was done in the last 50 ms. A disconnect also counts from the end of the caller's half of the connection, not only from its close.

The two tests in hostDisconnects.test.ts failed before: the server got 3 requests instead of 2, and 5 stage calls instead of 4.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -150,6 +150,7 @@
     onServerReplaced,
   });
   const listener = createRelayListener({
+    clock,
     service,
     protocol,
     logger,
--- a/apps/daemon/src/lib/relay/createRelayListener.ts
+++ b/apps/daemon/src/lib/relay/createRelayListener.ts
@@ -1,16 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import {
-  createNotRunFailure,
-  describeError,
-  NO_LONGER_NEEDED,
-  type Failure,
-} from '@endiveferry/base';
+import { createNotRunFailure, describeError, type Clock, type Failure } from '@endiveferry/base';
 import type { CallerLimits, CallerRequest, RelayService, WireProtocol } from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
 import { createHttpServer, type HttpServer } from '../createHttpServer.js';
 import { readRawBody } from '../readBody.js';
+import { createCallerConnection } from './createCallerConnection.js';
 import { createResponder } from './createResponder.js';
 
 /**
@@ -32,6 +28,7 @@
 
 /** Options of {@link createRelayListener}. @internal */
 export interface RelayListenerOptions {
+  readonly clock: Clock;
   readonly service: Pick<RelayService, 'serve'>;
   readonly protocol: WireProtocol;
   readonly logger: Logger;
@@ -59,7 +56,7 @@
  * @internal
  */
 export function createRelayListener(options: RelayListenerOptions): RelayListener {
-  const { service, protocol, logger, isStopping } = options;
+  const { clock, service, protocol, logger, isStopping } = options;
   const getLimits = () => options.getLimits() ?? DEFAULT_LIMITS;
 
   function reject(response: ServerResponse, failure: Failure): void {
@@ -72,8 +69,7 @@
   }
 
   async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const disconnect = new AbortController();
-    response.once('close', () => disconnect.abort(NO_LONGER_NEEDED));
+    const connection = createCallerConnection(request, response, clock);
     const { maxHeaderBytes, maxBodyBytes } = getLimits();
     if (countHeaderBytes(request) > maxHeaderBytes) {
       reject(
@@ -94,7 +90,7 @@
       headers: request.headers,
       body: body.value,
     };
-    await service.serve(callerRequest, createResponder(response, isStopping), disconnect.signal);
+    await service.serve(callerRequest, createResponder(response, isStopping), connection);
   }
 
   const http = createHttpServer(
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -3,6 +3,7 @@
  * unchanged to backend servers.
  */
 export { createBackends, type Backend, type Backends } from './lib/createBackends.js';
+export type { CallerConnection } from './lib/CallerConnection.js';
 export {
   createConfigurationTracker,
   type ConfigurationTracker,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -9,6 +9,7 @@
 } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
+import type { CallerConnection } from './CallerConnection.js';
 import type { InputBytes } from './chooseBackend.js';
 import type { Backend } from './createBackends.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
@@ -34,8 +35,7 @@
   readonly endAt: number;
   /** Monotonic time by which a stream that has started must end, in milliseconds. */
   readonly streamEndAt: number;
-  /** Aborts when the caller disconnects. */
-  readonly signal: AbortSignal;
+  readonly connection: CallerConnection;
   readonly responder: Responder;
   /** Runs the stages again after an input was lost; resolves to undefined when that fails. */
   readonly renewInputs: () => Promise<EngineInputs | undefined>;
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -12,6 +12,7 @@
 import { err } from 'neverthrow';
 
 import { admitRequest, type AdmittedRequest } from './admitRequest.js';
+import type { CallerConnection } from './CallerConnection.js';
 import { chooseEngine, choosePlainServer } from './chooseBackend.js';
 import { countTokens } from './countTokens.js';
 import type { Backends } from './createBackends.js';
@@ -34,8 +35,12 @@
 
 /** Serves callers' requests from arrival to response. @public */
 export interface RelayService {
-  /** Serves one request; `signal` aborts when the caller disconnects. */
-  serve(callerRequest: CallerRequest, responder: Responder, signal: AbortSignal): Promise<void>;
+  /** Serves one request. */
+  serve(
+    callerRequest: CallerRequest,
+    responder: Responder,
+    connection: CallerConnection,
+  ): Promise<void>;
   /** Returns the number of requests in progress. */
   readonly countActive: () => number;
   /**
@@ -125,9 +130,12 @@
   async function serveAdmitted(
     admitted: AdmittedRequest,
     responder: Responder,
-    signal: AbortSignal,
+    connection: CallerConnection,
   ): Promise<ForwardOutcome> {
-    const prepared = await inputs.prepare(admitted, signal);
+    const { signal } = connection;
+    const prepared = (await connection.confirm())
+      ? await inputs.prepare(admitted, signal)
+      : err(createNotRunFailure('cancelled', 'the caller disconnected'));
     if (prepared.isErr()) {
       const sent = sendFailure(prepared.error, admitted.metadata.requestId, responder, options);
       return { ...sent, servers: [], firstEventAt: undefined, sentAt: undefined };
@@ -164,7 +172,7 @@
         ...inputs.describe(output),
         endAt,
         streamEndAt,
-        signal,
+        connection,
         responder,
         renewInputs,
         onInputsRead: () => output?.free(),
@@ -239,7 +247,7 @@
   async function serveRequest(
     callerRequest: CallerRequest,
     responder: Responder,
-    signal: AbortSignal,
+    connection: CallerConnection,
   ) {
     const metadata = protocol.parseRequest(callerRequest);
     const admitted = metadata.andThen((parsed) =>
@@ -264,17 +272,18 @@
     }
     let disconnectedAt: number | undefined;
     const recordDisconnect = () => (disconnectedAt = clock.now());
+    const { signal } = connection;
     signal.addEventListener('abort', recordDisconnect, { once: true });
-    const outcome = await serveAdmitted(admitted.value, responder, signal);
+    const outcome = await serveAdmitted(admitted.value, responder, connection);
     signal.removeEventListener('abort', recordDisconnect);
     recordOutcome(admitted.value, outcome, disconnectedAt);
   }
 
   return {
-    async serve(callerRequest, responder, signal) {
+    async serve(callerRequest, responder, connection) {
       activeRequests += 1;
       try {
-        await serveRequest(callerRequest, responder, signal);
+        await serveRequest(callerRequest, responder, connection);
       } finally {
         activeRequests -= 1;
       }
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -42,7 +42,7 @@
   const { callerRequest, metadata, route } = request;
   const controller = new AbortController();
   const abort = () => controller.abort(NO_LONGER_NEEDED);
-  request.signal.addEventListener('abort', abort, { once: true });
+  request.connection.signal.addEventListener('abort', abort, { once: true });
   const mayRetry = isRepeatable(route) && state.sentAttempts + 1 < route.maxAttempts;
   void abortOnTimeout(state, controller, mayRetry);
   const stream = { hasStarted: false };
@@ -77,7 +77,7 @@
   });
   running.end();
   controller.abort(NO_LONGER_NEEDED);
-  request.signal.removeEventListener('abort', abort);
+  request.connection.signal.removeEventListener('abort', abort);
   const outcome = classifyAttempt(result, metadata.requestId, options.protocol);
   if (outcome.kind !== 'success' || !stream.hasStarted || relay.end()) return outcome;
   return {
@@ -97,7 +97,8 @@
     options.onServerReplaced(serverId);
   else if (outcome.kind === 'failure-answer') backend.recordErrorResponse();
   // A disconnect of the caller is not a failure of the server.
-  else if (outcome.kind !== 'refused' && !request.signal.aborted) backend.recordFailure();
+  else if (outcome.kind !== 'refused' && !request.connection.signal.aborted)
+    backend.recordFailure();
   if (outcome.kind === 'success') return;
   options.logger.warn('attempt at a backend server failed', {
     requestId: request.metadata.requestId,
@@ -116,7 +117,7 @@
 function reserveRetry(state: ForwardState, outcome: AttemptOutcome): boolean {
   const { request, options } = state;
   const { clock } = options;
-  if (request.signal.aborted || clock.now() >= request.endAt) return false;
+  if (request.connection.signal.aborted || clock.now() >= request.endAt) return false;
   if (outcome.kind === 'not-sent') {
     state.connectFailures += 1;
     return state.connectFailures < MAX_CONNECT_FAILURES;
@@ -139,7 +140,7 @@
 
 function buildFailure(state: ForwardState, outcome: AttemptOutcome | undefined): Failure {
   const { request, options, execution } = state;
-  if (request.signal.aborted) {
+  if (request.connection.signal.aborted) {
     return { reason: 'cancelled', detail: 'the caller disconnected', execution };
   }
   if (options.clock.now() >= request.endAt && execution !== 'not-run') {
@@ -232,6 +233,7 @@
   options.budget.recordFirstAttempt();
   let outcome: AttemptOutcome | undefined;
   for (;;) {
+    if (!(await request.connection.confirm())) return sendResponse(state, outcome);
     const chosen = options.choose(state.request, state.attemptedIds);
     if (chosen === undefined) return sendResponse(state, outcome);
     const { backend } = chosen;
