Do not send a stage of an aborted request to a dispatcher

Callers saw nothing of it; stages ran for requests whose callers had left, or of which another stage had failed. Cause: runAtHost listens for an abort without looking at a signal that has already aborted, so the dispatcher was asked and never told. Found when looking for other places where the end of a request is missed. Evidence: the test failed before, with one run-pieces request. Fix: the signal is checked before each dispatcher.

--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -1,5 +1,6 @@
 import {
   createNotRunFailure,
+  isAborted,
   type Clock,
   type Failure,
   type HostId,
@@ -230,10 +231,10 @@
   return {
     async run(poolId, group, signal, onInputsFetched) {
       for (const hostId of listDispatcherHosts(poolId).slice(0, MAX_DISPATCHER_ATTEMPTS)) {
-        if (hostId === findFleet().hostId) break;
+        if (hostId === findFleet().hostId || isAborted(signal)) break;
         const result = await runAtHost(hostId, poolId, group, signal, onInputsFetched);
         if (result !== undefined) return result;
-        if (signal.aborted || clock.now() >= group.endAt) break;
+        if (clock.now() >= group.endAt) break;
       }
       const localDispatcher = findDispatcher(poolId);
       if (localDispatcher !== undefined) return localDispatcher.run(group, signal, onInputsFetched);
