Bound the time that a dispatcher spends on looking at its queue

Callers saw: requests that were late or rejected for seconds, at all hosts, and some that ran after their callers had left.

Cause: on each arrival, free and end of a call a dispatcher looked at every waiting group once for each replica with a free slot, also when all of them had to wait for a following stage. Work grew with events x idle replicas x queue. Its peers gave up on it and sent their stages to other hosts.

The test in createPieceDispatcher.test.ts failed before: 51,000 looks at 50 groups with 20 idle replicas, 2,550 with one.

--- a/packages/relay/src/lib/pieces/chooseBatch.ts
+++ b/packages/relay/src/lib/pieces/chooseBatch.ts
@@ -56,7 +56,10 @@
 
 /** Candidates and conditions for the choice of a batch. @public */
 export interface BatchOptions<Group extends WaitingGroup> {
-  readonly waiting: readonly Group[];
+  /** The groups to choose from, see {@link listStartable}. */
+  readonly startable: readonly Group[];
+  /** Number of all waiting pieces, including those of groups that must not start yet. */
+  readonly waitingPieces: number;
   readonly capacity: StageCapacity;
   readonly replica: FreeReplica;
   /** Replicas in use, this one included. */
@@ -78,9 +81,6 @@
   readonly pieces: readonly number[];
 }
 
-const countPieces = (groups: readonly { readonly pieces: readonly number[] }[]) =>
-  groups.reduce((sum, { pieces }) => sum + pieces.length, 0);
-
 /**
  * Sorts waiting groups by scheduling order. Groups that can still meet their target come first,
  * sorted by their latest start with a precedence for urgent ranks; late groups follow, sorted by
@@ -134,17 +134,22 @@
 }
 
 /**
- * Returns whether the queue of a following stage is so long that a group must not start. A group
- * whose inputs expire soon starts in any case.
+ * Lists the groups that may start. A group waits while the queue of a following stage is too long,
+ * unless its inputs expire soon.
+ *
+ * @param waiting - the groups
+ * @param conditions - the time, in milliseconds, and the waiting times at following stages
+ * @returns the groups that may start, in the given order
+ * @internal
  */
-function isBlocked<Group extends WaitingGroup>(
-  { group }: Group,
-  options: BatchOptions<Group>,
-): boolean {
-  if (group.inputsExpireAt - EXPIRY_MARGIN_MS < options.now) return false;
-  return group.followers.some(
-    (poolId) => options.estimateWaitMs(poolId, Infinity) > MAX_FOLLOWING_WAIT_MS,
-  );
+export function listStartable<Group extends WaitingGroup>(
+  waiting: readonly Group[],
+  { now, estimateWaitMs }: Pick<BatchOptions<Group>, 'now' | 'estimateWaitMs'>,
+): readonly Group[] {
+  const isBlocked = ({ group }: Group) =>
+    group.inputsExpireAt - EXPIRY_MARGIN_MS >= now &&
+    group.followers.some((poolId) => estimateWaitMs(poolId, Infinity) > MAX_FOLLOWING_WAIT_MS);
+  return waiting.filter((entry) => !isBlocked(entry));
 }
 
 /**
@@ -159,7 +164,7 @@
 export function chooseBatch<Group extends WaitingGroup>(
   options: BatchOptions<Group>,
 ): readonly BatchPart<Group>[] {
-  const { waiting, capacity, replica, now } = options;
+  const { startable, capacity, replica, now } = options;
   const soloMs = ({ pieces }: Group) => estimateSoloMs(capacity, pieces.length, replica.slowness);
   // A group has to start earlier by the time that it is expected to wait at the following stages.
   const findLatestStart = (entry: Group) =>
@@ -171,9 +176,9 @@
         0,
       );
   const isSaturated =
-    countPieces(waiting) > options.replicaCount * capacity.batch * SATURATED_ROUND_SHARE;
+    options.waitingPieces > options.replicaCount * capacity.batch * SATURATED_ROUND_SHARE;
   const rankStepMs = isSaturated ? SATURATED_RANK_STEP_MS : RANK_STEP_MS;
-  const sorted = sortGroups(waiting, findLatestStart, now, rankStepMs);
+  const sorted = sortGroups(startable, findLatestStart, now, rankStepMs);
   const parts: BatchPart<Group>[] = [];
   let freePieces = capacity.batch;
   let freeBytes = replica.freeBytes;
@@ -182,7 +187,6 @@
 
   for (const entry of sorted) {
     const { group, pieces } = entry;
-    if (isBlocked(entry, options)) continue;
     if (shouldWaitForHomeZone(entry, options, findLatestStart(entry))) continue;
     const fitting = Math.min(pieces.length, freePieces, Math.floor(freeBytes / group.resultBytes));
     const isFirst = parts.length === 0;
--- a/packages/relay/src/lib/pieces/createGroupQueue.ts
+++ b/packages/relay/src/lib/pieces/createGroupQueue.ts
@@ -23,6 +23,8 @@
   add(entry: QueuedGroup): void;
   /** Settles a group and ignores later updates of its pieces. */
   settle(entry: QueuedGroup, result: Result<readonly PieceResult[], Failure>): void;
+  /** Counts all unsettled groups. */
+  readonly countGroups: () => number;
   /** Lists all unsettled groups. */
   readonly listGroups: () => readonly QueuedGroup[];
   /** Lists the groups with pieces that are not in a call. */
@@ -79,6 +81,7 @@
   return {
     add: (entry) => void groups.add(entry),
     settle,
+    countGroups: () => groups.size,
     listGroups: () => [...groups],
     listWaiting: () => [...groups].filter(({ pieces }) => pieces.length > 0),
     countWaiting: () => [...groups].reduce((sum, { pieces }) => sum + pieces.length, 0),
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.test.ts
@@ -17,6 +17,7 @@
 import type { ListedServer, StageCapacity } from '../RelayConfiguration.js';
 import { createPieceDispatcher } from './createPieceDispatcher.js';
 import type { BatchOutcome } from './PieceDispatcher.js';
+import type { EstimateWaitMs } from './RankWait.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
 setLogWriter(() => undefined);
@@ -50,7 +51,7 @@
   readonly end: (outcome: BatchOutcome) => void;
 }
 
-function createHarness() {
+function createHarness(estimateWaitMs: EstimateWaitMs = () => 0) {
   const clock = createFakeClock();
   const calls: SentCall[] = [];
   const freed: string[] = [];
@@ -67,7 +68,7 @@
     sendFree: (_server, handles) => freed.push(...handles),
     onServerReplaced: (serverId) => replaced.push(serverId),
     tryWithdrawRetry: () => true,
-    estimateWaitMs: () => 0,
+    estimateWaitMs,
   });
   function run(
     name: string,
@@ -296,3 +297,27 @@
     [near.serverId],
   );
 });
+
+/** Counts how often groups that all wait for a following stage are looked at. */
+function countReadsOfBlocked(replicaCount: number): number {
+  const { dispatcher, run } = createHarness(() => 10_000);
+  const names = Array.from({ length: replicaCount }, (_, index) => 'x'.repeat(index + 1));
+  dispatcher.update(
+    capacity,
+    names.map((name) => createServer(name)),
+  );
+  let reads = 0;
+  const followers = new Proxy([poolIdSchema.parse('next')], {
+    get(target, property, receiver): unknown {
+      if (property === 'some' || property === 'reduce') reads += 1;
+      return Reflect.get(target, property, receiver);
+    },
+  });
+  for (let index = 0; index < 50; index += 1) void run(`r${index}`, { followers });
+  return reads;
+}
+
+// Looking at all waiting groups once for each idle replica, at each event, overloaded a host.
+test('groups that must not start yet are not considered for each idle replica', () => {
+  assert.equal(countReadsOfBlocked(20), countReadsOfBlocked(1));
+});
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -3,7 +3,7 @@
 
 import type { PieceFailure } from '../ports.js';
 import type { StageCapacity } from '../RelayConfiguration.js';
-import { chooseBatch, type BatchPart } from './chooseBatch.js';
+import { chooseBatch, listStartable, type BatchPart } from './chooseBatch.js';
 import { estimateCallMs, estimateSoloMs } from './estimateCallMs.js';
 import { createGroupQueue, type CallSlot } from './createGroupQueue.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
@@ -13,6 +13,7 @@
   PieceResult,
   BatchOutcome,
 } from './PieceDispatcher.js';
+import { createScanScheduler } from './createScanScheduler.js';
 import { createWaitMemo } from './createWaitMemo.js';
 import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
 import { computeWaits, type RankWait } from './RankWait.js';
@@ -29,12 +30,6 @@
  * inputs are lost and the stages of the request run again.
  */
 const INPUT_FETCH_MS = 120;
-/**
- * Interval between dispatch attempts while pieces are waiting, in milliseconds: replicas that back
- * off or lack memory become usable again without an event.
- */
-const DISPATCH_RETRY_MS = 30;
-
 /** Lists the failure reasons that an answered call reports for its pieces. */
 const listFailures = (callOutcome: BatchOutcome): readonly PieceFailure[] =>
   callOutcome.kind === 'answered'
@@ -59,8 +54,8 @@
     tryWithdrawRetry: options.tryWithdrawRetry,
     free,
   });
+  const scans = createScanScheduler(clock, scan);
   let capacity: StageCapacity | undefined;
-  let cancelDispatch: (() => void) | undefined;
 
   function free(results: readonly PieceResult[]): void {
     const byServer = new Map<BackendServerId, string[]>();
@@ -72,7 +67,7 @@
       const server = replicas.find(serverId)?.server();
       if (server !== undefined) options.sendFree(server, handles);
     }
-    dispatch();
+    requestScan();
   }
 
   function findRejection(
@@ -103,38 +98,46 @@
     return computeWaits(queue.listGroups(), capacity, replicas.listUsable().length);
   }
 
-  function dispatch(): void {
-    if (capacity === undefined) return;
+  function requestScan(): void {
+    if (queue.countGroups() > 0) scans.request();
+  }
+
+  /** Settles expired groups and starts calls; returns whether pieces are still waiting. */
+  function scan(): boolean {
     settleExpired();
+    if (capacity !== undefined) startCalls(findIdle(capacity.slots), capacity);
+    return queue.countWaiting() > 0;
+  }
+
+  function startCalls(idle: readonly ReplicaState[], currentCapacity: StageCapacity): void {
     const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
-    const idle = findIdle(capacity.slots);
+    const now = clock.now();
+    let startable = listStartable(queue.listWaiting(), { now, estimateWaitMs });
+    const zones = new Set(replicas.listUsable().map((state) => state.server().availabilityZone));
+    const minResultBytes = Math.min(...startable.map(({ group }) => group.resultBytes));
     for (const [index, replica] of idle.entries()) {
-      const waiting = queue.listWaiting();
-      if (waiting.length === 0) return;
+      if (startable.length === 0) return;
+      const freeBytes = replica.freeBytes(currentCapacity);
+      if (freeBytes < minResultBytes) continue;
       const parts = chooseBatch({
-        waiting,
-        capacity,
+        startable,
+        waitingPieces: queue.countWaiting(),
+        capacity: currentCapacity,
         replica: {
           availabilityZone: replica.server().availabilityZone,
           slowness: replica.slowness(),
-          freeBytes: replica.freeBytes(capacity),
+          freeBytes,
         },
         replicaCount: replicas.list().length,
-        now: clock.now(),
-        zones: new Set(replicas.listUsable().map((state) => state.server().availabilityZone)),
+        now,
+        zones,
         idleZones: new Set(idle.slice(index + 1).map((state) => state.server().availabilityZone)),
         estimateWaitMs,
       });
-      if (parts.length > 0) void runCall(replica, parts, capacity);
+      if (parts.length === 0) continue;
+      void runCall(replica, parts, currentCapacity);
+      startable = startable.filter(({ pieces }) => pieces.length > 0);
     }
-    if (queue.countWaiting() > 0) scheduleDispatch();
-  }
-
-  function scheduleDispatch(): void {
-    cancelDispatch ??= clock.schedule(DISPATCH_RETRY_MS, () => {
-      cancelDispatch = undefined;
-      dispatch();
-    });
   }
 
   async function runCall(
@@ -193,7 +196,7 @@
       callFailureHandlers[callOutcome.kind](replica, callOutcome);
       for (const slot of slots) queue.requeue(slot, callOutcome.kind !== 'failed');
     }
-    dispatch();
+    requestScan();
   }
 
   function storeResult(replica: ReplicaState, slot: CallSlot, handle: string, ttlMs: number): void {
@@ -279,14 +282,14 @@
           queue.settle(entry, err(createNotRunFailure('cancelled', 'request cancelled')));
         signal.addEventListener('abort', cancel, { once: true });
         queue.add(entry);
-        dispatch();
+        requestScan();
       });
     },
     free,
     update(nextCapacity, servers) {
       capacity = nextCapacity;
       replicas.update(servers);
-      dispatch();
+      requestScan();
     },
     listWaits,
     countWaiting: queue.countWaiting,
