Stop stages at a dispatcher when the connection to their host closes

Callers saw: late and rejected requests for seconds after one host was slow.

Cause: when a dispatcher sends nothing for 0.9 s, its peers close their connections and send the same stages to the next host. The late dispatcher was never told and went on with all it had, so each stage ran twice or more: replicas were full, had no memory for results, and made results that nobody waited for. Class: work goes on for somebody who has left, as with callers.

Fix: handlers of peer requests get a signal that aborts when the connection of the sender closes; a dispatcher withdraws the stages that came over it, and logs and counts them. Both new tests failed before (the first one at the changed lines alone: the signal of the stage stayed unaborted).

--- a/packages/peers/src/lib/createPeerConnection.test.ts
+++ b/packages/peers/src/lib/createPeerConnection.test.ts
@@ -65,3 +65,24 @@
       assert.equal(reply.isOk() && reply.value, 'done');
     },
   ));
+
+test('the handler of a request learns that the connection of its sender closed', async () => {
+  let signal: AbortSignal | undefined;
+  const isAborted = () => signal?.aborted === true;
+  await withSocketPair(
+    (socket) => {
+      createPeerConnection(socket, clock, (_kind, _body, requestSignal) => {
+        signal = requestSignal;
+        return new Promise(() => undefined);
+      });
+    },
+    async (socket) => {
+      const connection = createPeerConnection(socket, clock, () => Promise.resolve());
+      void connection.request('run-pieces', {}, REQUEST_TIMEOUT_MS);
+      while (signal === undefined) await new Promise((resolve) => setTimeout(resolve, 5));
+      assert.equal(isAborted(), false);
+      connection.destroy();
+      while (!isAborted()) await new Promise((resolve) => setTimeout(resolve, 5));
+    },
+  );
+});
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 
-import { describeError, type Clock } from '@endiveferry/base';
+import { describeError, NO_LONGER_NEEDED, type Clock } from '@endiveferry/base';
 import { Decoder, Encoder } from 'cbor-x';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -25,8 +25,17 @@
   readonly detail: string;
 }
 
-/** Handles a request of the remote host; a thrown error is sent back as a rejection. @public */
-export type HandlePeerRequest = (kind: PeerRequestKind, body: unknown) => Promise<unknown>;
+/**
+ * Handles a request of the remote host; a thrown error is sent back as a rejection. The signal
+ * aborts when the connection closes, after which nobody can receive the reply.
+ *
+ * @public
+ */
+export type HandlePeerRequest = (
+  kind: PeerRequestKind,
+  body: unknown,
+  signal: AbortSignal,
+) => Promise<unknown>;
 
 /**
  * A connection to another host, on which both sides can send requests.
@@ -93,6 +102,7 @@
   const encoder = new Encoder({ useRecords: false });
   const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
   const pending = new Map<number, PendingRequest>();
+  const disconnect = new AbortController();
   let nextId = 1;
   const keepalive =
     keepaliveTimeoutMs === undefined
@@ -122,7 +132,8 @@
   async function sendReply(id: number, kind: PeerRequestKind, body: unknown): Promise<void> {
     try {
       // A ping checks that this host responds, so it bypasses the request handler.
-      send({ type: 'reply', id, body: kind === 'ping' ? true : await handleRequest(kind, body) });
+      const reply = kind === 'ping' || (await handleRequest(kind, body, disconnect.signal));
+      send({ type: 'reply', id, body: reply });
     } catch (error) {
       send({ type: 'refusal', id, detail: describeError(error) });
     }
@@ -160,6 +171,7 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       keepalive?.stop();
+      disconnect.abort(NO_LONGER_NEEDED);
       for (const { finish } of [...pending.values()]) {
         finish(err({ kind: 'unknown', detail: 'the connection closed before the reply' }));
       }
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -55,8 +55,8 @@
     options.onHeartbeat(hostId, codec.parse(body), undefined);
   }
 
-  const handleRequest: HandleHostRequest = (hostId, kind, body) => {
-    if (kind !== 'heartbeat') return options.handleRequest(hostId, kind, body);
+  const handleRequest: HandleHostRequest = (hostId, kind, body, signal) => {
+    if (kind !== 'heartbeat') return options.handleRequest(hostId, kind, body, signal);
     receiveHeartbeat(hostId, body);
     return Promise.resolve(codec.compact(options.buildHeartbeat()));
   };
@@ -73,7 +73,7 @@
     const connection = createPeerConnection(
       socket,
       clock,
-      (kind, body) => handleRequest(hostId, kind, body),
+      (kind, body, signal) => handleRequest(hostId, kind, body, signal),
       options.keepaliveTimeoutMs,
     );
     void connection.closed.then(() => {
--- a/packages/peers/src/lib/startPeerListener.ts
+++ b/packages/peers/src/lib/startPeerListener.ts
@@ -9,11 +9,17 @@
 import { helloSchema, type PeerRequestKind } from './messages.js';
 import { findCertificateHost, type TlsKeys } from './openPeerSocket.js';
 
-/** Handles a request of an identified host; a thrown error rejects the request. @public */
+/**
+ * Handles a request of an identified host; a thrown error rejects the request. The signal aborts
+ * when the connection to the host closes.
+ *
+ * @public
+ */
 export type HandleHostRequest = (
   hostId: HostId,
   kind: PeerRequestKind,
   body: unknown,
+  signal: AbortSignal,
 ) => Promise<unknown>;
 
 /**
@@ -63,7 +69,7 @@
 
 function handleSocket(socket: Socket, options: PeerListenerOptions): PeerConnection {
   let hostId: HostId | undefined;
-  return createPeerConnection(socket, options.clock, (kind, body) => {
+  return createPeerConnection(socket, options.clock, (kind, body, signal) => {
     if (kind === 'hello') {
       hostId = checkHello(socket, body, options);
       return Promise.resolve({ processId: options.processId });
@@ -71,7 +77,7 @@
     if (hostId === undefined) throw new PeerRejectedError('the first request must be a hello');
     // The host may have been removed from the list since its hello.
     if (!options.isListed(hostId)) throw new PeerRejectedError(`${hostId} is not on the list`);
-    return options.handleRequest(hostId, kind, body);
+    return options.handleRequest(hostId, kind, body, signal);
   });
 }
 
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -10,7 +10,12 @@
   type Random,
   type Supervisor,
 } from '@endiveferry/base';
-import { choosePeers, createPeerNetwork, type PeerNetwork } from '@endiveferry/peers';
+import {
+  choosePeers,
+  createPeerNetwork,
+  type HandleHostRequest,
+  type PeerNetwork,
+} from '@endiveferry/peers';
 import { parseAddress } from '@endiveferry/settings';
 import type { Logger } from '@endiveferry/telemetry';
 
@@ -35,12 +40,10 @@
 /** Timeout for reading the configuration or the server list from a host, in milliseconds. */
 const READ_TIMEOUT_MS = 2_000;
 
-/** Handles a request of another host; returns undefined for an unknown kind. @public */
+/** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
 export type HandleFleetRequest = (
-  hostId: HostId,
-  kind: string,
-  body: unknown,
-) => Promise<unknown> | undefined;
+  ...request: Parameters<HandleHostRequest>
+) => ReturnType<HandleHostRequest> | undefined;
 
 /**
  * The relay hosts that this host knows of, and the links to them.
@@ -271,9 +274,9 @@
     keepaliveTimeoutMs: KEEPALIVE_TIMEOUT_MS,
     buildHeartbeat,
     onHeartbeat: receiveHeartbeat,
-    handleRequest: (from, kind, body) =>
+    handleRequest: (from, kind, body, signal) =>
       requestHandlers[kind]?.() ??
-      options.handleRequest(from, kind, body) ??
+      options.handleRequest(from, kind, body, signal) ??
       Promise.reject(new Error(`unknown request kind: ${kind}`)),
   });
   updatePeers();
--- a/packages/relay/src/lib/createStageClient.test.ts
+++ b/packages/relay/src/lib/createStageClient.test.ts
@@ -81,3 +81,24 @@
   assert.equal(result.isErr() && result.error.reason, 'cancelled');
   assert.deepEqual(kinds, []);
 });
+
+// Peers give up on a late dispatcher and send their stages elsewhere; it went on with all of them.
+test('a dispatcher stops work for a host whose connection closed', () => {
+  const { client, localSignals } = createHarness(() =>
+    Promise.resolve(err({ kind: 'unknown', detail: 'no reply' })),
+  );
+  const connection = new AbortController();
+  const body = {
+    ...group,
+    inputs: [],
+    homeZone: 'a',
+    poolId,
+    orderId: `${other}/1`,
+    remainingMs: 5_000,
+    targetRemainingMs: 1_000,
+  };
+  void client.handleRequest(other, 'run-pieces', body, connection.signal);
+  assert.equal(localSignals[0]?.aborted, false);
+  connection.abort();
+  assert.equal(localSignals[0].aborted, true);
+});
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -1,6 +1,7 @@
 import {
   createNotRunFailure,
   isAborted,
+  NO_LONGER_NEEDED,
   type Clock,
   type Failure,
   type HostId,
@@ -167,13 +168,28 @@
     return undefined;
   }
 
-  async function handleRunRequest(from: HostId, body: unknown): Promise<RunPiecesReply> {
+  async function handleRunRequest(
+    from: HostId,
+    body: unknown,
+    disconnectSignal: AbortSignal,
+  ): Promise<RunPiecesReply> {
     const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
       runPiecesRequestSchema.parse(body);
     const dispatcher = findDispatcher(poolId);
     if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
     const controller = new AbortController();
     abortControllers.set(orderId, controller);
+    const abandon = () => {
+      options.metrics.recordStageRequest(poolId, 'abandoned');
+      logger.info('stage request abandoned: the connection to its host closed', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+      });
+      controller.abort(NO_LONGER_NEEDED);
+    };
+    disconnectSignal.addEventListener('abort', abandon, { once: true });
     const [preferredHost] = findFleet().listDispatchers(poolId);
     if (preferredHost !== findFleet().hostId) {
       logger.info('stage request received, although another host is preferred', {
@@ -203,12 +219,13 @@
       );
       return { outcome, byRank: dispatcher.listWaits() };
     } finally {
+      disconnectSignal.removeEventListener('abort', abandon);
       abortControllers.delete(orderId);
     }
   }
 
   const requestHandlers: Partial<
-    Record<string, (from: HostId, body: unknown) => Promise<unknown>>
+    Record<string, (from: HostId, body: unknown, signal: AbortSignal) => Promise<unknown>>
   > = {
     'run-pieces': handleRunRequest,
     'inputs-fetched': (_from, body) => {
@@ -256,6 +273,6 @@
         CONTROL_REQUEST_TIMEOUT_MS,
       );
     },
-    handleRequest: (from, kind, body) => requestHandlers[kind]?.(from, body),
+    handleRequest: (from, kind, body, signal) => requestHandlers[kind]?.(from, body, signal),
   };
 }
