--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -3,12 +3,18 @@
  * unchanged to backend servers.
  */
 export { createBackends, type Backend, type Backends } from './lib/createBackends.js';
+export type { CallerConnection } from './lib/CallerConnection.js';
 export {
   createConfigurationTracker,
   type ConfigurationTracker,
   type ActiveConfiguration,
 } from './lib/createConfigurationTracker.js';
 export { createFleet, type Fleet, type FleetOptions } from './lib/createFleet.js';
+export {
+  createRelayMetrics,
+  type RelayMetrics,
+  type StageRequestOutcome,
+} from './lib/createRelayMetrics.js';
 export {
   createRelayService,
   type RelayService,
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -12,6 +12,7 @@
 import { err } from 'neverthrow';
 
 import { admitRequest, type AdmittedRequest } from './admitRequest.js';
+import type { CallerConnection } from './CallerConnection.js';
 import { chooseEngine, choosePlainServer } from './chooseBackend.js';
 import { countTokens } from './countTokens.js';
 import type { Backends } from './createBackends.js';
@@ -21,6 +22,7 @@
 import type { StageClient } from './createStageClient.js';
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
+import type { RelayMetrics } from './createRelayMetrics.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import type { HostEnvironment, CallerRequest, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
@@ -33,8 +35,12 @@
 
 /** Serves callers' requests from arrival to response. @public */
 export interface RelayService {
-  /** Serves one request; `signal` aborts when the caller disconnects. */
-  serve(callerRequest: CallerRequest, responder: Responder, signal: AbortSignal): Promise<void>;
+  /** Serves one request. */
+  serve(
+    callerRequest: CallerRequest,
+    responder: Responder,
+    connection: CallerConnection,
+  ): Promise<void>;
   /** Returns the number of requests in progress. */
   readonly countActive: () => number;
   /**
@@ -51,6 +57,9 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly relayMetrics: Pick<RelayMetrics, 'recordDisconnect'>;
+  /** Returns the longest recent delay of this process's event loop, in milliseconds. */
+  readonly findLoopDelayMs: () => number;
   readonly protocol: WireProtocol;
   readonly configurationTracker: ConfigurationTracker;
   readonly backends: Backends;
@@ -121,12 +130,15 @@
   async function serveAdmitted(
     admitted: AdmittedRequest,
     responder: Responder,
-    signal: AbortSignal,
+    connection: CallerConnection,
   ): Promise<ForwardOutcome> {
-    const prepared = await inputs.prepare(admitted, signal);
+    const { signal } = connection;
+    const prepared = (await connection.confirm())
+      ? await inputs.prepare(admitted, signal)
+      : err(createNotRunFailure('cancelled', 'the caller disconnected'));
     if (prepared.isErr()) {
       const sent = sendFailure(prepared.error, admitted.metadata.requestId, responder, options);
-      return { ...sent, servers: [], firstEventAt: undefined };
+      return { ...sent, servers: [], firstEventAt: undefined, sentAt: undefined };
     }
     let output = prepared.value;
     let preparedAt = clock.now();
@@ -160,7 +172,7 @@
         ...inputs.describe(output),
         endAt,
         streamEndAt,
-        signal,
+        connection,
         responder,
         renewInputs,
         onInputsRead: () => output?.free(),
@@ -183,8 +195,16 @@
   }
 
   /** Records metrics and logs one line: the decision, the state it is based on, and the outcome. */
-  function recordOutcome(admitted: AdmittedRequest, outcome: ForwardOutcome): void {
+  function recordOutcome(
+    admitted: AdmittedRequest,
+    outcome: ForwardOutcome,
+    disconnectedAt: number | undefined,
+  ): void {
     const { metadata, route, workspace, arrivedAt } = admitted;
+    if (disconnectedAt !== undefined)
+      options.relayMetrics.recordDisconnect(outcome.sentAt !== undefined);
+    const computeSinceArrival = (at: number | undefined) =>
+      at === undefined ? undefined : Math.round(at - arrivedAt);
     const durationMs = clock.now() - arrivedAt;
     const firstEventMs = (outcome.firstEventAt ?? clock.now()) - arrivedAt;
     const { failure } = outcome;
@@ -214,6 +234,9 @@
       detail: failure?.detail,
       retryAfterMs: failure?.retryAfterMs,
       backendServers: outcome.servers,
+      sentMs: computeSinceArrival(outcome.sentAt),
+      disconnectedMs: computeSinceArrival(disconnectedAt),
+      loopDelayMs: Math.round(options.findLoopDelayMs()),
       firstMs: Math.round(firstEventMs),
       durationMs: Math.round(durationMs),
       targetMs: route.targetLatencyMs,
@@ -224,7 +247,7 @@
   async function serveRequest(
     callerRequest: CallerRequest,
     responder: Responder,
-    signal: AbortSignal,
+    connection: CallerConnection,
   ) {
     const metadata = protocol.parseRequest(callerRequest);
     const admitted = metadata.andThen((parsed) =>
@@ -247,14 +270,20 @@
       });
       return;
     }
-    recordOutcome(admitted.value, await serveAdmitted(admitted.value, responder, signal));
+    let disconnectedAt: number | undefined;
+    const recordDisconnect = () => (disconnectedAt = clock.now());
+    const { signal } = connection;
+    signal.addEventListener('abort', recordDisconnect, { once: true });
+    const outcome = await serveAdmitted(admitted.value, responder, connection);
+    signal.removeEventListener('abort', recordDisconnect);
+    recordOutcome(admitted.value, outcome, disconnectedAt);
   }
 
   return {
-    async serve(callerRequest, responder, signal) {
+    async serve(callerRequest, responder, connection) {
       activeRequests += 1;
       try {
-        await serveRequest(callerRequest, responder, signal);
+        await serveRequest(callerRequest, responder, connection);
       } finally {
         activeRequests -= 1;
       }
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -1,5 +1,7 @@
 import {
   createNotRunFailure,
+  isAborted,
+  NO_LONGER_NEEDED,
   type Clock,
   type Failure,
   type HostId,
@@ -8,6 +10,7 @@
 import type { Logger } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
+import type { RelayMetrics } from './createRelayMetrics.js';
 import type { Fleet, HandleFleetRequest } from './createFleet.js';
 import {
   cancelPiecesSchema,
@@ -62,6 +65,7 @@
   readonly findFleet: () => Fleet;
   /** Finds the dispatcher of a pool on this host. */
   readonly findDispatcher: (poolId: PoolId) => PieceDispatcher | undefined;
+  readonly metrics: Pick<RelayMetrics, 'recordStageRequest'>;
   /** Records the waiting times that a dispatcher on another host reports. */
   readonly recordWaits: (waits: ReportedWaits) => void;
 }
@@ -143,9 +147,11 @@
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, runRequest.remainingMs) + REPLY_MARGIN_MS;
     fetchHandlers.set(orderId, onInputsFetched);
+    const sentAt = clock.now();
     const reply = await findFleet().request(hostId, 'run-pieces', runRequest, timeoutMs);
     fetchHandlers.delete(orderId);
     signal.removeEventListener('abort', cancel);
+    options.metrics.recordStageRequest(poolId, reply.isOk() ? 'answered' : 'unanswered');
     if (reply.isOk()) {
       const { outcome, byRank } = runPiecesReplySchema.parse(reply.value);
       options.recordWaits({ poolId, ageMs: 0, byRank });
@@ -153,20 +159,47 @@
     }
     logger.warn('stage request to dispatcher failed', {
       requestId: group.requestId,
+      orderId,
       pool: poolId,
       peer: hostId,
+      waitedMs: Math.round(clock.now() - sentAt),
       detail: reply.error.detail,
     });
     return undefined;
   }
 
-  async function handleRunRequest(from: HostId, body: unknown): Promise<RunPiecesReply> {
+  async function handleRunRequest(
+    from: HostId,
+    body: unknown,
+    disconnectSignal: AbortSignal,
+  ): Promise<RunPiecesReply> {
     const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
       runPiecesRequestSchema.parse(body);
     const dispatcher = findDispatcher(poolId);
     if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
     const controller = new AbortController();
     abortControllers.set(orderId, controller);
+    const abandon = () => {
+      options.metrics.recordStageRequest(poolId, 'abandoned');
+      logger.info('stage request abandoned: the connection to its host closed', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+      });
+      controller.abort(NO_LONGER_NEEDED);
+    };
+    disconnectSignal.addEventListener('abort', abandon, { once: true });
+    const [preferredHost] = findFleet().listDispatchers(poolId);
+    if (preferredHost !== findFleet().hostId) {
+      logger.info('stage request received, although another host is preferred', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+        preferred: preferredHost,
+      });
+    }
     const { key, inputs, homeZone } = rest;
     const group = {
       ...rest,
@@ -186,12 +219,13 @@
       );
       return { outcome, byRank: dispatcher.listWaits() };
     } finally {
+      disconnectSignal.removeEventListener('abort', abandon);
       abortControllers.delete(orderId);
     }
   }
 
   const requestHandlers: Partial<
-    Record<string, (from: HostId, body: unknown) => Promise<unknown>>
+    Record<string, (from: HostId, body: unknown, signal: AbortSignal) => Promise<unknown>>
   > = {
     'run-pieces': handleRunRequest,
     'inputs-fetched': (_from, body) => {
@@ -214,10 +248,10 @@
   return {
     async run(poolId, group, signal, onInputsFetched) {
       for (const hostId of listDispatcherHosts(poolId).slice(0, MAX_DISPATCHER_ATTEMPTS)) {
-        if (hostId === findFleet().hostId) break;
+        if (hostId === findFleet().hostId || isAborted(signal)) break;
         const result = await runAtHost(hostId, poolId, group, signal, onInputsFetched);
         if (result !== undefined) return result;
-        if (signal.aborted || clock.now() >= group.endAt) break;
+        if (clock.now() >= group.endAt) break;
       }
       const localDispatcher = findDispatcher(poolId);
       if (localDispatcher !== undefined) return localDispatcher.run(group, signal, onInputsFetched);
@@ -239,6 +273,6 @@
         CONTROL_REQUEST_TIMEOUT_MS,
       );
     },
-    handleRequest: (from, kind, body) => requestHandlers[kind]?.(from, body),
+    handleRequest: (from, kind, body, signal) => requestHandlers[kind]?.(from, body, signal),
   };
 }
