Close connections on which a server sends bytes without end outside of a response

Heads, header lines, plain garbage and bodies were broken off already.

Cause: the client library limits heads and leaves bodies to its user, but consumes interim responses and chunk extensions without a limit. Fix: a socket that delivers 256 KiB without the head or data of a response is closed; the call has an unknown outcome, so it isn't repeated if it must not run twice.

--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,7 +1,6 @@
-import type { Socket } from 'node:net';
-
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 
+import { createSocketMonitor, type SocketMonitor } from './createSocketMonitor.js';
 import { sendCall, type Call, type CallResult } from './sendCall.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -25,32 +24,6 @@
   close(): Promise<void>;
 }
 
-/** Creates a monitor that reports whether a watched socket's error is being handled right now. */
-function createSocketMonitor() {
-  let isFailing = false;
-  const recordFailure = () => {
-    isFailing = true;
-    queueMicrotask(() => {
-      isFailing = false;
-    });
-  };
-  return {
-    isFailing: () => isFailing,
-    /** Watches a new socket, so that these listeners run before those of the client library. */
-    watch: (socket: Socket): void => {
-      socket.on('error', recordFailure);
-      socket.on('end', () => {
-        // A reset that arrives together with data is reported as an ordinary end, but a reset
-        // connection no longer has a peer. Node caches the first value of `remoteAddress`, so
-        // nothing may read it earlier.
-        if (socket.remoteAddress === undefined) recordFailure();
-      });
-    },
-  };
-}
-
-type SocketMonitor = ReturnType<typeof createSocketMonitor>;
-
 /** Creates a connector whose sockets are watched for errors from the start. */
 function createConnector({ watch }: SocketMonitor): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -117,7 +90,7 @@
   async function sendOnNewConnection(call: Call): Promise<CallResult> {
     const dispatcher = createDispatcher(address, 1, monitor);
     try {
-      return await sendCall(dispatcher, call, monitor.isFailing);
+      return await sendCall(dispatcher, call, monitor);
     } finally {
       void closeQuietly(dispatcher);
     }
@@ -125,9 +98,7 @@
 
   return {
     send: (call) =>
-      call.usesNewConnection === true
-        ? sendOnNewConnection(call)
-        : sendCall(shared, call, monitor.isFailing),
+      call.usesNewConnection === true ? sendOnNewConnection(call) : sendCall(shared, call, monitor),
     async probe() {
       const result = await sendOnNewConnection({
         method: 'GET',
--- /dev/null
+++ b/packages/routing/src/lib/createSocketMonitor.ts
@@ -0,0 +1,66 @@
+import type { Socket } from 'node:net';
+
+/**
+ * Bytes that a server may send before and between the data of a response, such as heads and chunk
+ * headers.
+ */
+const MAX_OVERHEAD_BYTES = 262_144;
+
+/** Watches the sockets of the connections to one server. @internal */
+export interface SocketMonitor {
+  /** Returns whether a socket's error is being handled right now. */
+  readonly isFailing: () => boolean;
+  /**
+   * Records that the client library just read the head or data of a response. It does so while the
+   * socket reports that it is readable.
+   */
+  recordProgress(): void;
+  /** Watches a new socket, so that these listeners run before those of the client library. */
+  readonly watch: (socket: Socket) => void;
+}
+
+/**
+ * Creates a monitor. It closes a socket on which a server sends bytes without end that are no part
+ * of a response's data; the client library would read them for as long as they arrive.
+ *
+ * @returns the monitor, without sockets
+ * @internal
+ */
+export function createSocketMonitor(): SocketMonitor {
+  let isFailing = false;
+  let recordProgress = () => undefined;
+  const recordFailure = () => {
+    isFailing = true;
+    queueMicrotask(() => {
+      isFailing = false;
+    });
+  };
+
+  function limitOverhead(socket: Socket): void {
+    let bytesAtProgress = 0;
+    const recordSocketProgress = () => {
+      bytesAtProgress = socket.bytesRead;
+      return undefined;
+    };
+    socket.on('readable', () => {
+      recordProgress = recordSocketProgress;
+      if (socket.bytesRead - bytesAtProgress <= MAX_OVERHEAD_BYTES) return;
+      socket.destroy(new Error(`received ${MAX_OVERHEAD_BYTES} bytes without data of a response`));
+    });
+  }
+
+  return {
+    isFailing: () => isFailing,
+    recordProgress: () => recordProgress(),
+    watch(socket) {
+      limitOverhead(socket);
+      socket.on('error', recordFailure);
+      socket.on('end', () => {
+        // A reset that arrives together with data is reported as an ordinary end, but a reset
+        // connection no longer has a peer. Node caches the first value of `remoteAddress`, so
+        // nothing may read it earlier.
+        if (socket.remoteAddress === undefined) recordFailure();
+      });
+    },
+  };
+}
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -1,6 +1,8 @@
 import { describeError, type FailureReason } from '@endiveferry/base';
 import { errors, type Dispatcher } from 'undici';
 
+import type { SocketMonitor } from './createSocketMonitor.js';
+
 /** Maximum size of a response that is buffered in memory. */
 const MAX_RESPONSE_BYTES = 16_000_000;
 /** Lower status codes are interim responses. */
@@ -82,7 +84,11 @@
   }
 }
 
-function createHandler(call: Call, isFailing: () => boolean, finish: (result: CallResult) => void) {
+function createHandler(
+  call: Call,
+  monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>,
+  finish: (result: CallResult) => void,
+) {
   const chunks: Buffer[] = [];
   let wasSent = false;
   let status = 0;
@@ -123,6 +129,7 @@
     onResponseStart(controller, statusCode, responseHeaders) {
       // Interim responses precede the final one.
       if (statusCode < FIRST_FINAL_STATUS) return;
+      monitor.recordProgress();
       status = statusCode;
       headers = responseHeaders;
       const pause = () => controller.pause();
@@ -133,6 +140,7 @@
         (call.onData !== undefined && status === 200);
     },
     onResponseData(controller, chunk) {
+      monitor.recordProgress();
       if (isStreamed) {
         call.onData?.(chunk);
         return;
@@ -145,7 +153,7 @@
       }
     },
     onResponseEnd() {
-      if (isFailing()) {
+      if (monitor.isFailing()) {
         const detail = 'the connection was reset before the end of the response';
         end({ kind: 'unknown', reason: 'connection-lost', detail });
         return;
@@ -172,15 +180,15 @@
  *
  * @param dispatcher - the connections to the backend server
  * @param call - the call
- * @param isFailing - whether a connection error is being handled; a response without a length that
- *   ends meanwhile is incomplete, although the client library treats it as complete
+ * @param monitor - watches the sockets; a response without a length that ends while one fails is
+ *   incomplete, although the client library treats it as complete
  * @returns the result
  * @public
  */
 export function sendCall(
   dispatcher: Dispatcher,
   call: Call,
-  isFailing: () => boolean = () => false,
+  monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>,
 ): Promise<CallResult> {
   return new Promise((resolve) => {
     if (call.signal?.aborted === true) {
@@ -201,7 +209,7 @@
           idempotent: false,
           reset: call.usesNewConnection === true,
         },
-        createHandler(call, isFailing, resolve),
+        createHandler(call, monitor, resolve),
       );
     } catch (error) {
       // Dispatching to a closed pool throws before the call is queued.
