Limit the memory of responses without end

Cause: each chunk of a buffered response was kept as a view, which holds the whole read buffer, and each call could take 16 MB.

Fix: chunks are copied into one growing buffer; all responses that a host is receiving share 16 MB, beyond which the largest is broken off; stage calls and probes have small limits of their own. The search for the end of a stream's event no longer starts again at the beginning of an incomplete event of up to 1 MB with each chunk.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -19,6 +19,8 @@
  * backend server, so a failure needs no retry.
  */
 const FREE_TIMEOUT_MS = 1_000;
+/** Maximum size of a response to a stage call, in bytes: some handles per piece of a batch. */
+const MAX_STAGE_RESPONSE_BYTES = 1_000_000;
 
 /** The dispatchers of all stage pools on this host. @internal */
 export interface Dispatchers {
@@ -75,6 +77,7 @@
     if (backend === undefined) return { kind: 'gone' };
     const result = await backend.connections.send({
       ...protocol.buildPiecesRequest(serverId, pieces),
+      maxResponseBytes: MAX_STAGE_RESPONSE_BYTES,
       signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
     });
     return parseResult(result, pieces.length);
@@ -85,14 +88,16 @@
     if (backend === undefined) return;
     const request = protocol.buildFreeRequest(serverId, handles);
     const signal = AbortSignal.timeout(FREE_TIMEOUT_MS);
-    void backend.connections.send({ ...request, signal }).then((result) => {
-      if (result.kind === 'answered') return;
-      logger.debug('stage results could not be freed', {
-        backendServer: serverId,
-        count: handles.length,
-        detail: result.detail,
+    void backend.connections
+      .send({ ...request, maxResponseBytes: MAX_STAGE_RESPONSE_BYTES, signal })
+      .then((result) => {
+        if (result.kind === 'answered') return;
+        logger.debug('stage results could not be freed', {
+          backendServer: serverId,
+          count: handles.length,
+          detail: result.detail,
+        });
       });
-    });
   }
 
   return {
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, Clock, PoolId, Random } from '@endiveferry/base';
 import {
+  createResponseBudget,
   createServerConnections,
   createServerHealth,
   type ServerConnections,
@@ -32,6 +33,8 @@
 const MIN_MEASURED_TOKENS = 1_500;
 /** Weight of the newest prompt in the moving average of the read time. */
 const TOKEN_MS_WEIGHT = 0.15;
+/** Memory for the responses that this host is receiving, in bytes; hosts have 160 MB or more. */
+const MAX_RESPONSES_BYTES = 16_000_000;
 /** Age after which a reported load is ignored, in milliseconds. */
 const LOAD_REPORT_VALID_MS = 1_500;
 
@@ -98,6 +101,7 @@
  */
 export function createBackends(options: BackendsOptions): Backends {
   const { clock, random, logger } = options;
+  const budget = createResponseBudget(MAX_RESPONSES_BYTES);
   const backends = new Map<BackendServerId, Backend & { readonly health: ServerHealth }>();
 
   const listPool = (poolId: PoolId) =>
@@ -116,6 +120,7 @@
       Math.max(1, Math.floor(planned / Math.max(1, options.countHosts())));
     const connections = createServerConnections(server.address, {
       maxConnections: computeMaxConnections(),
+      budget,
       ...(pool === undefined ? {} : { probePath: pool.healthPath }),
     });
     const health = createServerHealth(clock, random, (state) =>
--- a/packages/relay/src/lib/createEventSplitter.ts
+++ b/packages/relay/src/lib/createEventSplitter.ts
@@ -22,6 +22,8 @@
 }
 
 const EVENT_END = /\r?\n\r?\n/g;
+/** Length of the longest beginning of an event end that more bytes may complete. */
+const MAX_PARTIAL_END = 3;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 
 /**
@@ -34,14 +36,17 @@
 export function createEventSplitter(): EventSplitter {
   // Latin-1 maps each byte to one character, so string positions are byte offsets.
   let pending = '';
+  /** Position in `pending` before which no event can end. */
+  let searchedTo = 0;
   return {
     push(chunk) {
       pending += chunk.toString('latin1');
       const events: StreamEvent[] = [];
       let start = 0;
-      for (const { index, 0: end } of pending.matchAll(EVENT_END)) {
-        const text = pending.slice(start, index + end.length);
-        start = index + end.length;
+      EVENT_END.lastIndex = searchedTo;
+      for (let end = EVENT_END.exec(pending); end !== null; end = EVENT_END.exec(pending)) {
+        const text = pending.slice(start, EVENT_END.lastIndex);
+        start = EVENT_END.lastIndex;
         const eventId = ID_LINE.exec(text)?.[1];
         events.push({
           bytes: Buffer.from(text, 'latin1'),
@@ -49,6 +54,7 @@
         });
       }
       pending = pending.slice(start);
+      searchedTo = Math.max(0, pending.length - MAX_PARTIAL_END);
       if (pending.length > MAX_EVENT_BYTES) {
         throw new Error(`an incomplete stream event exceeds ${MAX_EVENT_BYTES} bytes`);
       }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export { createPoolRouter } from './lib/createPoolRouter.js';
 export type { PoolRouter, PoolRouterOptions, ServerLease, ServerStatus } from './lib/PoolRouter.js';
 export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
+export { createResponseBudget, type ResponseBudget } from './lib/createResponseBudget.js';
 export {
   createServerConnections,
   type ConnectionOptions,
--- /dev/null
+++ b/packages/routing/src/lib/createResponseBudget.ts
@@ -0,0 +1,48 @@
+/** A response that takes memory while it is received. @public */
+export interface BudgetHolder {
+  /** Stops receiving the response. */
+  readonly abort: (reason: Error) => void;
+}
+
+/**
+ * Limits the memory of all responses that a process is receiving. Servers in trouble may send
+ * bodies without end to many calls at once.
+ *
+ * @public
+ */
+export interface ResponseBudget {
+  /** Adds received bytes to a holder; aborts the largest holder if the budget is exceeded. */
+  add(holder: BudgetHolder, bytes: number): void;
+  /** Removes a holder whose response has ended. */
+  release(holder: BudgetHolder): void;
+}
+
+/**
+ * Creates a budget without holders.
+ *
+ * @param maxBytes - memory of all responses together, in bytes
+ * @returns the budget
+ * @public
+ */
+export function createResponseBudget(maxBytes: number): ResponseBudget {
+  const holders = new Map<BudgetHolder, number>();
+  let total = 0;
+
+  function release(holder: BudgetHolder): void {
+    total -= holders.get(holder) ?? 0;
+    holders.delete(holder);
+  }
+
+  return {
+    add(holder, bytes) {
+      holders.set(holder, (holders.get(holder) ?? 0) + bytes);
+      total += bytes;
+      if (total <= maxBytes) return;
+      const [largest] = [...holders].sort(([, first], [, second]) => second - first);
+      if (largest === undefined) return;
+      release(largest[0]);
+      largest[0].abort(new Error(`responses exceed ${maxBytes} bytes of memory`));
+    },
+    release,
+  };
+}
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 
+import { createResponseBudget, type ResponseBudget } from './createResponseBudget.js';
 import { createSocketMonitor, type SocketMonitor } from './createSocketMonitor.js';
 import { sendCall, type Call, type CallResult } from './sendCall.js';
 
@@ -7,6 +8,9 @@
 /** Idle connections are closed early, before a middlebox can drop their state. */
 const IDLE_TIMEOUT_MS = 10_000;
 const PROBE_TIMEOUT_MS = 1_000;
+const MAX_PROBE_BYTES = 65_536;
+/** Memory for the responses of one server, in bytes, unless it is shared with others. */
+const DEFAULT_BUDGET_BYTES = 16_000_000;
 /** Path of the load report, which every backend server provides. */
 const LOAD_PATH = '/v1/load';
 
@@ -67,6 +71,8 @@
 export interface ConnectionOptions {
   /** Maximum number of connections, apart from probes; further calls wait; `null` for no limit. */
   readonly maxConnections?: number | null;
+  /** Memory for responses, shared with the connections to other servers. */
+  readonly budget?: ResponseBudget;
   /** Path that responds while the server is alive. */
   readonly probePath?: string;
 }
@@ -84,13 +90,15 @@
   options: ConnectionOptions = {},
 ): ServerConnections {
   const { maxConnections = null, probePath = LOAD_PATH } = options;
+  const budget = options.budget ?? createResponseBudget(DEFAULT_BUDGET_BYTES);
   const monitor = createSocketMonitor();
+  const environment = { monitor, budget };
   let shared = createDispatcher(address, maxConnections, monitor);
 
   async function sendOnNewConnection(call: Call): Promise<CallResult> {
     const dispatcher = createDispatcher(address, 1, monitor);
     try {
-      return await sendCall(dispatcher, call, monitor);
+      return await sendCall(dispatcher, call, environment);
     } finally {
       void closeQuietly(dispatcher);
     }
@@ -98,11 +106,14 @@
 
   return {
     send: (call) =>
-      call.usesNewConnection === true ? sendOnNewConnection(call) : sendCall(shared, call, monitor),
+      call.usesNewConnection === true
+        ? sendOnNewConnection(call)
+        : sendCall(shared, call, environment),
     async probe() {
       const result = await sendOnNewConnection({
         method: 'GET',
         path: probePath,
+        maxResponseBytes: MAX_PROBE_BYTES,
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       return result.kind === 'answered' ? result : undefined;
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -1,10 +1,12 @@
 import { describeError, type FailureReason } from '@endiveferry/base';
 import { errors, type Dispatcher } from 'undici';
 
+import { createResponseBuffer } from './createResponseBuffer.js';
+import type { BudgetHolder, ResponseBudget } from './createResponseBudget.js';
 import type { SocketMonitor } from './createSocketMonitor.js';
 
-/** Maximum size of a response that is buffered in memory. */
-const MAX_RESPONSE_BYTES = 16_000_000;
+/** Maximum size of a response that is buffered in memory, in bytes, unless the call has its own. */
+const DEFAULT_MAX_RESPONSE_BYTES = 16_000_000;
 /** Lower status codes are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -29,6 +31,8 @@
   readonly signal?: AbortSignal;
   /** Checked right before the call is written; the call is not sent if it returns `false`. */
   readonly maySend?: (() => boolean) | undefined;
+  /** Maximum size of a response that is not streamed, in bytes. */
+  readonly maxResponseBytes?: number;
   /** Called when the call is about to be written to a connection. */
   readonly onSent?: () => void;
   /** Called with each chunk of the body of a streamed response. */
@@ -74,6 +78,16 @@
   | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
   | { readonly kind: 'unknown'; readonly reason: FailureReason; readonly detail: string };
 
+/** State that the calls to one server share. @internal */
+export interface CallEnvironment {
+  /**
+   * Watches the sockets. A response without a length that ends while a socket fails is incomplete,
+   * although the client library treats it as complete.
+   */
+  readonly monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>;
+  readonly budget: ResponseBudget;
+}
+
 /** Error of a call that this module aborted. */
 class CallAbortedError extends Error {
   constructor(
@@ -86,14 +100,14 @@
 
 function createHandler(
   call: Call,
-  monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>,
+  { monitor, budget }: CallEnvironment,
   finish: (result: CallResult) => void,
 ) {
-  const chunks: Buffer[] = [];
+  const body = createResponseBuffer();
+  const maxBytes = call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
   let wasSent = false;
   let status = 0;
   let headers: HttpHeaders = {};
-  let size = 0;
   let isStreamed = false;
   let abortRequest: ((reason: Error) => void) | undefined;
   const onAbort = () => {
@@ -102,7 +116,9 @@
     if (abortRequest === undefined) end({ kind: 'not-sent', reason: 'cancelled', detail });
     else abortRequest(new CallAbortedError('cancelled', detail));
   };
+  const holder: BudgetHolder = { abort: (reason) => abortRequest?.(reason) };
   const end = (result: CallResult) => {
+    budget.release(holder);
     call.signal?.removeEventListener('abort', onAbort);
     finish(result);
   };
@@ -145,12 +161,12 @@
         call.onData?.(chunk);
         return;
       }
-      size += chunk.length;
-      if (size > MAX_RESPONSE_BYTES) {
-        controller.abort(new Error(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`));
-      } else {
-        chunks.push(chunk);
+      if (body.size() + chunk.length > maxBytes) {
+        controller.abort(new Error(`the response exceeds ${maxBytes} bytes`));
+        return;
       }
+      body.append(chunk);
+      budget.add(holder, chunk.length);
     },
     onResponseEnd() {
       if (monitor.isFailing()) {
@@ -158,7 +174,7 @@
         end({ kind: 'unknown', reason: 'connection-lost', detail });
         return;
       }
-      end({ kind: 'answered', status, headers, body: Buffer.concat(chunks) });
+      end({ kind: 'answered', status, headers, body: body.read() });
     },
     onResponseError(_controller, error) {
       const abortReason = error instanceof CallAbortedError ? error.reason : undefined;
@@ -180,15 +196,14 @@
  *
  * @param dispatcher - the connections to the backend server
  * @param call - the call
- * @param monitor - watches the sockets; a response without a length that ends while one fails is
- *   incomplete, although the client library treats it as complete
+ * @param environment - see {@link CallEnvironment}
  * @returns the result
  * @public
  */
 export function sendCall(
   dispatcher: Dispatcher,
   call: Call,
-  monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>,
+  environment: CallEnvironment,
 ): Promise<CallResult> {
   return new Promise((resolve) => {
     if (call.signal?.aborted === true) {
@@ -209,7 +224,7 @@
           idempotent: false,
           reset: call.usesNewConnection === true,
         },
-        createHandler(call, monitor, resolve),
+        createHandler(call, environment, resolve),
       );
     } catch (error) {
       // Dispatching to a closed pool throws before the call is queued.
