Close a connection between hosts at the end of its lifetime only when it is idle

Callers saw: stages that were sent again, 30 s after a host began to use a dispatcher to which it has no link. Cause: an on-demand connection was destroyed with its pending requests; since a dispatcher stops the stages of a closed connection, their work would be lost as well. Fix: new requests get a new connection, and the old one closes after its last reply.

--- a/packages/peers/src/lib/createOnDemandConnections.ts
+++ b/packages/peers/src/lib/createOnDemandConnections.ts
@@ -2,7 +2,7 @@
 
 import type { PeerConnection } from './createPeerConnection.js';
 
-/** Time from opening to closing, in which further requests to the same host use the connection. */
+/** Time in which further requests to the same host use the connection, from its opening. */
 const CONNECTION_LIFETIME_MS = 30_000;
 
 /**
@@ -41,7 +41,10 @@
         if (connections.get(hostId) === opening) connections.delete(hostId);
       };
       opening.then((connection) => {
-        const cancelExpiry = clock.schedule(CONNECTION_LIFETIME_MS, () => connection.destroy());
+        const cancelExpiry = clock.schedule(CONNECTION_LIFETIME_MS, () => {
+          remove();
+          connection.closeWhenIdle();
+        });
         void connection.closed.then(() => {
           cancelExpiry();
           remove();
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -51,6 +51,8 @@
   ): Promise<Result<unknown, PeerFailure>>;
   /** Returns whether requests can be sent. */
   readonly isOpen: () => boolean;
+  /** Closes the connection once the pending requests have ended. */
+  closeWhenIdle(): void;
   /** Closes the connection at once; pending requests fail with `unknown`. */
   destroy(): void;
   /** Resolves when the connection is closed. */
@@ -106,6 +108,7 @@
   const pending = new Map<number, PendingRequest>();
   const disconnect = new AbortController();
   let nextId = 1;
+  let isClosing = false;
   const keepalive =
     keepaliveTimeoutMs === undefined
       ? undefined
@@ -116,6 +119,10 @@
           close: () => socket.destroy(new Error(`no data received for ${keepaliveTimeoutMs} ms`)),
         });
 
+  function closeIfIdle(): void {
+    if (pending.size === 0) socket.destroy();
+  }
+
   function createId(): number {
     nextId += 1;
     return nextId;
@@ -193,6 +200,7 @@
           cancelTimer();
           pending.delete(id);
           resolve(result);
+          if (isClosing) closeIfIdle();
         };
         const cancelTimer = clock.schedule(timeoutMs, () =>
           finish(err({ kind: 'unknown', detail: `no reply within ${timeoutMs} ms` })),
@@ -203,6 +211,10 @@
       });
     },
     isOpen: () => socket.writable,
+    closeWhenIdle() {
+      isClosing = true;
+      closeIfIdle();
+    },
     destroy: () => socket.destroy(),
     closed,
     countBytes: () => socket.bytesRead + socket.bytesWritten,
