Wait for a write in progress when the log is flushed

Operators saw: the last log lines of a stopping process missing, among them how many requests it cut off. Cause: flush returned at once during a write, and the process exited. Fix: a flush during a write waits for it, and the write goes on until no line is left.

--- a/packages/telemetry/src/lib/createLineWriter.ts
+++ b/packages/telemetry/src/lib/createLineWriter.ts
@@ -13,7 +13,7 @@
 export interface LineWriter {
   /** Buffers one line, given without its line terminator. */
   readonly write: (line: string) => void;
-  /** Writes all buffered lines; resolves when done, or at once if a write is in progress. */
+  /** Writes all buffered lines; resolves when they are written. */
   readonly flush: () => Promise<void>;
 }
 
@@ -29,7 +29,7 @@
   let pending: string[] = [];
   let pendingCharacters = 0;
   let droppedLines = 0;
-  let isWriting = false;
+  let writing: Promise<void> | undefined;
   let timer: NodeJS.Timeout | undefined;
 
   function drainPending(): string {
@@ -52,13 +52,17 @@
     });
   }
 
-  async function flush(): Promise<void> {
-    if (isWriting) return;
-    isWriting = true;
+  async function writePending(): Promise<void> {
     for (let text = drainPending(); text !== ''; text = drainPending()) {
       await writeAll(Buffer.from(text));
     }
-    isWriting = false;
+  }
+
+  function flush(): Promise<void> {
+    writing ??= writePending().finally(() => {
+      writing = undefined;
+    });
+    return writing;
   }
 
   return {
