Do not start a request of the product's own interface for a caller that has left

Same cause as on the platform's side: the listener read a request and the end of its connection from the socket in two turns, and started the request between them. Found by looking for the same cause elsewhere. Evidence: with the check taken out, the new test fails: the first line about the request is that of its run. Fix: the connection of the caller, with its confirmation, moves out of the relay folder and serves both listeners. Such a request is logged, and nothing of it runs.

--- a/apps/daemon/src/lib/relay/createCallerConnection.ts
+++ b/apps/daemon/src/lib/createCallerConnection.ts
@@ -37,7 +37,7 @@
   socket.once('end', abort);
   response.once('close', () => {
     socket.removeListener('end', abort);
-    abort();
+    if (!response.writableFinished) abort();
   });
   let confirmedAt = -Infinity;
   return {
--- a/apps/daemon/src/lib/createCallersListener.ts
+++ b/apps/daemon/src/lib/createCallersListener.ts
@@ -13,12 +13,13 @@
 import type { TlsKeys } from '@endiveferry/peers';
 import type { ProgressEvent } from '@endiveferry/pipeline';
 import type { Configuration } from '@endiveferry/settings';
-import type { Metrics } from '@endiveferry/telemetry';
+import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import type { Middleware, Request } from 'polka';
 
 import { buildProblem } from './buildProblem.js';
 import { createAuthenticator, type Authenticate } from './createAuthenticator.js';
+import { createCallerConnection } from './createCallerConnection.js';
 import { createHttpServer, type HttpServer } from './createHttpServer.js';
 import type { RequestService, ServiceResponse } from './createRequestService.js';
 import { parseCall, type ParsedCall } from './parseCall.js';
@@ -39,6 +40,7 @@
   readonly hostId: HostId;
   readonly processId: ProcessId;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly metrics: Metrics;
   readonly service: RequestService;
   readonly getConfiguration: () => Configuration | undefined;
@@ -79,15 +81,6 @@
   };
 }
 
-/** Returns a signal that aborts when the caller disconnects before the response is complete. */
-function createCallerSignal(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) controller.abort();
-  });
-  return controller.signal;
-}
-
 /**
  * Creates the callers' listener.
  *
@@ -96,7 +89,7 @@
  * @internal
  */
 export function createCallersListener(options: CallersListenerOptions): HttpServer {
-  const { clock, metrics, service, getConfiguration } = options;
+  const { clock, logger, metrics, service, getConfiguration } = options;
   let nextNumber = 0;
   let authenticator: { configuration: Configuration; authenticate: Authenticate } | undefined;
 
@@ -182,10 +175,14 @@
     const pipeline = request.params.pipeline ?? '';
     const call = parseCall(configuration, workspaceId, pipeline, request.headers);
     if (call.isErr()) return err(call.error);
-    const signal = createCallerSignal(response);
+    const connection = createCallerConnection(request, response, clock);
     const body = await readBody(request, configuration.limits.maxBodyBytes);
     if (body.isErr()) return err(body.error);
-    const context = { requestId, arrivedAt, body: body.value, signal };
+    if (!(await connection.confirm())) {
+      logger.info('request not run: its caller left before', { requestId });
+      return err(createNotRunFailure('cancelled', 'the caller disconnected'));
+    }
+    const context = { requestId, arrivedAt, body: body.value, signal: connection.signal };
     if (call.value.wantsStream) await serveStream(call.value, context, response);
     else await serveJson(call.value, context, response);
     return ok();
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -210,6 +210,7 @@
     hostId,
     processId,
     clock,
+    logger,
     metrics,
     service,
     getConfiguration: control.configuration,
--- a/apps/daemon/src/lib/createListeners.test.ts
+++ b/apps/daemon/src/lib/createListeners.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as requestTls } from 'node:https';
+import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -114,3 +115,28 @@
   assert.match(text, /"requestId"/);
   assert.doesNotMatch(text, /demo-taller-salto|a-secret/);
 });
+
+// The end of its connection was read only after the request had been started.
+test('a request whose caller left before the host read it is not run', async () => {
+  const lines: string[] = [];
+  setLogWriter((line) => lines.push(line));
+  await withDaemon({ logLevel: 'trace' }, async (daemon) => {
+    await daemon.waitUntilReady();
+    const [ip = '', port = ''] = daemon.addresses.callers.split(':');
+    const socket = connect(Number(port), ip);
+    await new Promise((resolve) => socket.once('connect', resolve));
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const linesBefore = lines.length;
+    socket.write(
+      'POST /v1/pipelines/stock-lookup/requests HTTP/1.1\r\nhost: a\r\n' +
+        'authorization: Bearer demo-taller-salto\r\nendiveferry-deadline-ms: 100\r\n' +
+        'content-length: 2\r\n\r\n{}',
+    );
+    socket.destroy();
+    const listRequestLines = () =>
+      lines.slice(linesBefore).filter((line) => line.includes('"requestId"'));
+    while (listRequestLines().length === 0) await new Promise((resolve) => setTimeout(resolve, 10));
+    assert.match(listRequestLines()[0] ?? '', /its caller left before/);
+  });
+  setLogWriter(() => undefined);
+});
--- a/apps/daemon/src/lib/relay/createRelayListener.ts
+++ b/apps/daemon/src/lib/relay/createRelayListener.ts
@@ -4,9 +4,9 @@
 import type { CallerLimits, CallerRequest, RelayService, WireProtocol } from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { createCallerConnection } from '../createCallerConnection.js';
 import { createHttpServer, type HttpServer } from '../createHttpServer.js';
 import { readRawBody } from '../readBody.js';
-import { createCallerConnection } from './createCallerConnection.js';
 import { createResponder } from './createResponder.js';
 
 /**
