--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -51,6 +51,8 @@
   ): Promise<Result<unknown, PeerFailure>>;
   /** Returns whether requests can be sent. */
   readonly isOpen: () => boolean;
+  /** Closes the connection once the pending requests have ended. */
+  closeWhenIdle(): void;
   /** Closes the connection at once; pending requests fail with `unknown`. */
   destroy(): void;
   /** Resolves when the connection is closed. */
@@ -90,6 +92,7 @@
  * @param handleRequest - handles the requests of the remote host
  * @param keepaliveTimeoutMs - time without received data after which a connection with pending
  *   requests is closed, in milliseconds; undefined relies on the timeouts of requests alone
+ * @param checkReachable - checks whether the remote host accepts connections
  * @returns the connection
  * @public
  */
@@ -98,21 +101,28 @@
   clock: Clock,
   handleRequest: HandlePeerRequest,
   keepaliveTimeoutMs?: number,
+  checkReachable?: () => Promise<boolean>,
 ): PeerConnection {
   const encoder = new Encoder({ useRecords: false });
   const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
   const pending = new Map<number, PendingRequest>();
   const disconnect = new AbortController();
   let nextId = 1;
+  let isClosing = false;
   const keepalive =
     keepaliveTimeoutMs === undefined
       ? undefined
       : createKeepaliveMonitor(clock, keepaliveTimeoutMs, {
           hasPendingRequests: () => pending.size > 0,
+          ...(checkReachable === undefined ? {} : { checkReachable }),
           sendPing: () => send({ type: 'request', id: createId(), kind: 'ping', body: {} }),
           close: () => socket.destroy(new Error(`no data received for ${keepaliveTimeoutMs} ms`)),
         });
 
+  function closeIfIdle(): void {
+    if (pending.size === 0) socket.destroy();
+  }
+
   function createId(): number {
     nextId += 1;
     return nextId;
@@ -190,6 +200,7 @@
           cancelTimer();
           pending.delete(id);
           resolve(result);
+          if (isClosing) closeIfIdle();
         };
         const cancelTimer = clock.schedule(timeoutMs, () =>
           finish(err({ kind: 'unknown', detail: `no reply within ${timeoutMs} ms` })),
@@ -200,6 +211,10 @@
       });
     },
     isOpen: () => socket.writable,
+    closeWhenIdle() {
+      isClosing = true;
+      closeIfIdle();
+    },
     destroy: () => socket.destroy(),
     closed,
     countBytes: () => socket.bytesRead + socket.bytesWritten,
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,13 +1,16 @@
-import type { Socket } from 'node:net';
-
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 
+import { createResponseBudget, type ResponseBudget } from './createResponseBudget.js';
+import { createSocketMonitor, type SocketMonitor } from './createSocketMonitor.js';
 import { sendCall, type Call, type CallResult } from './sendCall.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are closed early, before a middlebox can drop their state. */
 const IDLE_TIMEOUT_MS = 10_000;
 const PROBE_TIMEOUT_MS = 1_000;
+const MAX_PROBE_BYTES = 65_536;
+/** Memory for the responses of one server, in bytes, unless it is shared with others. */
+const DEFAULT_BUDGET_BYTES = 16_000_000;
 /** Path of the load report, which every backend server provides. */
 const LOAD_PATH = '/v1/load';
 
@@ -25,32 +28,6 @@
   close(): Promise<void>;
 }
 
-/** Creates a monitor that reports whether a watched socket's error is being handled right now. */
-function createSocketMonitor() {
-  let isFailing = false;
-  const recordFailure = () => {
-    isFailing = true;
-    queueMicrotask(() => {
-      isFailing = false;
-    });
-  };
-  return {
-    isFailing: () => isFailing,
-    /** Watches a new socket, so that these listeners run before those of the client library. */
-    watch: (socket: Socket): void => {
-      socket.on('error', recordFailure);
-      socket.on('end', () => {
-        // A reset that arrives together with data is reported as an ordinary end, but a reset
-        // connection no longer has a peer. Node caches the first value of `remoteAddress`, so
-        // nothing may read it earlier.
-        if (socket.remoteAddress === undefined) recordFailure();
-      });
-    },
-  };
-}
-
-type SocketMonitor = ReturnType<typeof createSocketMonitor>;
-
 /** Creates a connector whose sockets are watched for errors from the start. */
 function createConnector({ watch }: SocketMonitor): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -94,6 +71,8 @@
 export interface ConnectionOptions {
   /** Maximum number of connections, apart from probes; further calls wait; `null` for no limit. */
   readonly maxConnections?: number | null;
+  /** Memory for responses, shared with the connections to other servers. */
+  readonly budget?: ResponseBudget;
   /** Path that responds while the server is alive. */
   readonly probePath?: string;
 }
@@ -111,13 +90,15 @@
   options: ConnectionOptions = {},
 ): ServerConnections {
   const { maxConnections = null, probePath = LOAD_PATH } = options;
+  const budget = options.budget ?? createResponseBudget(DEFAULT_BUDGET_BYTES);
   const monitor = createSocketMonitor();
+  const environment = { monitor, budget };
   let shared = createDispatcher(address, maxConnections, monitor);
 
   async function sendOnNewConnection(call: Call): Promise<CallResult> {
     const dispatcher = createDispatcher(address, 1, monitor);
     try {
-      return await sendCall(dispatcher, call, monitor.isFailing);
+      return await sendCall(dispatcher, call, environment);
     } finally {
       void closeQuietly(dispatcher);
     }
@@ -127,11 +108,12 @@
     send: (call) =>
       call.usesNewConnection === true
         ? sendOnNewConnection(call)
-        : sendCall(shared, call, monitor.isFailing),
+        : sendCall(shared, call, environment),
     async probe() {
       const result = await sendOnNewConnection({
         method: 'GET',
         path: probePath,
+        maxResponseBytes: MAX_PROBE_BYTES,
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       return result.kind === 'answered' ? result : undefined;
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -1,8 +1,12 @@
 import { describeError, type FailureReason } from '@endiveferry/base';
 import { errors, type Dispatcher } from 'undici';
 
-/** Maximum size of a response that is buffered in memory. */
-const MAX_RESPONSE_BYTES = 16_000_000;
+import { createResponseBuffer } from './createResponseBuffer.js';
+import type { BudgetHolder, ResponseBudget } from './createResponseBudget.js';
+import type { SocketMonitor } from './createSocketMonitor.js';
+
+/** Maximum size of a response that is buffered in memory, in bytes, unless the call has its own. */
+const DEFAULT_MAX_RESPONSE_BYTES = 16_000_000;
 /** Lower status codes are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -27,6 +31,8 @@
   readonly signal?: AbortSignal;
   /** Checked right before the call is written; the call is not sent if it returns `false`. */
   readonly maySend?: (() => boolean) | undefined;
+  /** Maximum size of a response that is not streamed, in bytes. */
+  readonly maxResponseBytes?: number;
   /** Called when the call is about to be written to a connection. */
   readonly onSent?: () => void;
   /** Called with each chunk of the body of a streamed response. */
@@ -72,6 +78,16 @@
   | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
   | { readonly kind: 'unknown'; readonly reason: FailureReason; readonly detail: string };
 
+/** State that the calls to one server share. @internal */
+export interface CallEnvironment {
+  /**
+   * Watches the sockets. A response without a length that ends while a socket fails is incomplete,
+   * although the client library treats it as complete.
+   */
+  readonly monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>;
+  readonly budget: ResponseBudget;
+}
+
 /** Error of a call that this module aborted. */
 class CallAbortedError extends Error {
   constructor(
@@ -82,12 +98,16 @@
   }
 }
 
-function createHandler(call: Call, isFailing: () => boolean, finish: (result: CallResult) => void) {
-  const chunks: Buffer[] = [];
+function createHandler(
+  call: Call,
+  { monitor, budget }: CallEnvironment,
+  finish: (result: CallResult) => void,
+) {
+  const body = createResponseBuffer();
+  const maxBytes = call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
   let wasSent = false;
   let status = 0;
   let headers: HttpHeaders = {};
-  let size = 0;
   let isStreamed = false;
   let abortRequest: ((reason: Error) => void) | undefined;
   const onAbort = () => {
@@ -96,7 +116,9 @@
     if (abortRequest === undefined) end({ kind: 'not-sent', reason: 'cancelled', detail });
     else abortRequest(new CallAbortedError('cancelled', detail));
   };
+  const holder: BudgetHolder = { abort: (reason) => abortRequest?.(reason) };
   const end = (result: CallResult) => {
+    budget.release(holder);
     call.signal?.removeEventListener('abort', onAbort);
     finish(result);
   };
@@ -123,6 +145,7 @@
     onResponseStart(controller, statusCode, responseHeaders) {
       // Interim responses precede the final one.
       if (statusCode < FIRST_FINAL_STATUS) return;
+      monitor.recordProgress();
       status = statusCode;
       headers = responseHeaders;
       const pause = () => controller.pause();
@@ -133,24 +156,25 @@
         (call.onData !== undefined && status === 200);
     },
     onResponseData(controller, chunk) {
+      monitor.recordProgress();
       if (isStreamed) {
         call.onData?.(chunk);
         return;
       }
-      size += chunk.length;
-      if (size > MAX_RESPONSE_BYTES) {
-        controller.abort(new Error(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`));
-      } else {
-        chunks.push(chunk);
+      if (body.size() + chunk.length > maxBytes) {
+        controller.abort(new Error(`the response exceeds ${maxBytes} bytes`));
+        return;
       }
+      body.append(chunk);
+      budget.add(holder, chunk.length);
     },
     onResponseEnd() {
-      if (isFailing()) {
+      if (monitor.isFailing()) {
         const detail = 'the connection was reset before the end of the response';
         end({ kind: 'unknown', reason: 'connection-lost', detail });
         return;
       }
-      end({ kind: 'answered', status, headers, body: Buffer.concat(chunks) });
+      end({ kind: 'answered', status, headers, body: body.read() });
     },
     onResponseError(_controller, error) {
       const abortReason = error instanceof CallAbortedError ? error.reason : undefined;
@@ -172,15 +196,14 @@
  *
  * @param dispatcher - the connections to the backend server
  * @param call - the call
- * @param isFailing - whether a connection error is being handled; a response without a length that
- *   ends meanwhile is incomplete, although the client library treats it as complete
+ * @param environment - see {@link CallEnvironment}
  * @returns the result
  * @public
  */
 export function sendCall(
   dispatcher: Dispatcher,
   call: Call,
-  isFailing: () => boolean = () => false,
+  environment: CallEnvironment,
 ): Promise<CallResult> {
   return new Promise((resolve) => {
     if (call.signal?.aborted === true) {
@@ -201,7 +224,7 @@
           idempotent: false,
           reset: call.usesNewConnection === true,
         },
-        createHandler(call, isFailing, resolve),
+        createHandler(call, environment, resolve),
       );
     } catch (error) {
       // Dispatching to a closed pool throws before the call is queued.
