--- a/packages/peers/src/lib/createKeepaliveMonitor.test.ts
+++ b/packages/peers/src/lib/createKeepaliveMonitor.test.ts
@@ -7,14 +7,13 @@
 
 const TIMEOUT_MS = 900;
 
-function createHarness(checkReachable?: () => Promise<boolean>) {
+function createHarness() {
   const clock = createFakeClock();
   const connection = { hasPendingRequests: true, pings: 0, isClosed: false };
   const monitor = createKeepaliveMonitor(clock, TIMEOUT_MS, {
     hasPendingRequests: () => connection.hasPendingRequests,
     sendPing: () => (connection.pings += 1),
     close: () => (connection.isClosed = true),
-    ...(checkReachable === undefined ? {} : { checkReachable }),
   });
   return { clock, connection, monitor };
 }
@@ -55,24 +54,3 @@
   await clock.advance(TIMEOUT_MS / 2);
   assert.equal(connection.isClosed, false);
 });
-
-// All stages at a busy dispatcher moved to other hosts at once and ran twice.
-test('a late host that accepts connections gets more time, but not without limit', async () => {
-  const { clock, connection, monitor } = createHarness(() => Promise.resolve(true));
-  monitor.start();
-  await clock.advance(TIMEOUT_MS * 2);
-  assert.equal(connection.isClosed, false);
-  await clock.advance(TIMEOUT_MS * 2);
-  assert.equal(connection.isClosed, true);
-});
-
-test('a host that no longer accepts connections is given up at the timeout', async () => {
-  let isReachable = true;
-  const { clock, connection, monitor } = createHarness(() => Promise.resolve(isReachable));
-  monitor.start();
-  await clock.advance(TIMEOUT_MS);
-  assert.equal(connection.isClosed, false);
-  isReachable = false;
-  await clock.advance(TIMEOUT_MS);
-  assert.equal(connection.isClosed, true);
-});
--- a/packages/peers/src/lib/createKeepaliveMonitor.ts
+++ b/packages/peers/src/lib/createKeepaliveMonitor.ts
@@ -2,8 +2,6 @@
 
 /** Number of checks within the keepalive timeout. */
 const CHECKS_PER_TIMEOUT = 3;
-/** Multiple of the keepalive timeout after which a host that is only late is given up, too. */
-const LATE_TIMEOUT_FACTOR = 3;
 /** Time from scheduling to running a check, in intervals, above which this process has stalled. */
 const LATE_CHECK_FACTOR = 1.5;
 
@@ -26,8 +24,6 @@
   readonly hasPendingRequests: () => boolean;
   /** Sends a ping, to which a responsive host replies at once. */
   readonly sendPing: () => void;
-  /** Checks whether the remote host still accepts connections; not set if that is unknown. */
-  readonly checkReachable?: () => Promise<boolean>;
   /** Closes the connection when the keepalive timeout expires. */
   readonly close: () => void;
 }
@@ -36,8 +32,7 @@
  * Creates the keepalive monitor of one connection. While requests are pending, it pings a remote
  * host that sends nothing, and closes the connection when the timeout expires. TCP does not report
  * a host that lost power or is behind a partition, nor a connection whose state was dropped by a
- * device on the network path: the socket stays open. A host that accepts connections is late but
- * not lost, and gets more time: its work would otherwise move to other hosts and run twice.
+ * device on the network path: the socket stays open.
  *
  * @param clock - schedules the checks
  * @param timeoutMs - time without received data until the connection is closed, in milliseconds
@@ -54,14 +49,6 @@
   let cancelCheck: (() => void) | undefined;
   let checkDueAt = 0;
   let checksWithoutData = 0;
-  /** Whether the remote host accepted a connection since it last sent data. */
-  let isReachable = false;
-
-  async function updateReachable(): Promise<void> {
-    const checkedAt = clock.now();
-    const wasReachable = await connection.checkReachable?.();
-    isReachable = wasReachable === true && clock.now() - checkedAt < intervalMs;
-  }
 
   function scheduleCheck(): void {
     checkDueAt = clock.now() + intervalMs;
@@ -74,17 +61,11 @@
     // Data that arrived during a stall of this process is read only after this check.
     const wasStalled = clock.now() - checkDueAt > intervalMs * (LATE_CHECK_FACTOR - 1);
     checksWithoutData = wasStalled ? 0 : checksWithoutData + 1;
-    const maxChecks = CHECKS_PER_TIMEOUT * (isReachable ? LATE_TIMEOUT_FACTOR : 1);
-    if (checksWithoutData >= maxChecks) {
+    if (checksWithoutData >= CHECKS_PER_TIMEOUT) {
       connection.close();
       return;
     }
     if (checksWithoutData > 0) connection.sendPing();
-    // The answer is there when the timeout expires one interval later.
-    if ((checksWithoutData + 1) % CHECKS_PER_TIMEOUT === 0) {
-      isReachable = false;
-      void updateReachable();
-    }
     scheduleCheck();
   }
 
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -92,7 +92,6 @@
  * @param handleRequest - handles the requests of the remote host
  * @param keepaliveTimeoutMs - time without received data after which a connection with pending
  *   requests is closed, in milliseconds; undefined relies on the timeouts of requests alone
- * @param checkReachable - checks whether the remote host accepts connections
  * @returns the connection
  * @public
  */
@@ -101,7 +100,6 @@
   clock: Clock,
   handleRequest: HandlePeerRequest,
   keepaliveTimeoutMs?: number,
-  checkReachable?: () => Promise<boolean>,
 ): PeerConnection {
   const encoder = new Encoder({ useRecords: false });
   const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
@@ -114,7 +112,6 @@
       ? undefined
       : createKeepaliveMonitor(clock, keepaliveTimeoutMs, {
           hasPendingRequests: () => pending.size > 0,
-          ...(checkReachable === undefined ? {} : { checkReachable }),
           sendPing: () => send({ type: 'request', id: createId(), kind: 'ping', body: {} }),
           close: () => socket.destroy(new Error(`no data received for ${keepaliveTimeoutMs} ms`)),
         });
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -2,7 +2,6 @@
 import { parseAddress } from '@endiveferry/settings';
 import { err } from 'neverthrow';
 
-import { checkReachable } from './checkReachable.js';
 import { createLinkStateMachine, type LinkStateMachine } from './createLinkStateMachine.js';
 import { createOnDemandConnections } from './createOnDemandConnections.js';
 import { createPeerConnection, type PeerConnection } from './createPeerConnection.js';
@@ -21,8 +20,6 @@
 /** Consecutive heartbeats without a reply until a link is closed, even if its socket is open. */
 const MAX_MISSED_HEARTBEATS = 2;
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Time for a connection that only checks whether a host is there, in milliseconds. */
-const REACHABLE_TIMEOUT_MS = 250;
 const INITIAL_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 2_000;
 
@@ -68,10 +65,9 @@
   async function openConnection(hostId: HostId): Promise<PeerConnection> {
     const address = options.findAddress(hostId);
     if (address === undefined) throw new Error(`no address known for ${hostId}`);
-    const { ip: localIp } = parseAddress(options.address);
     const socket = await openPeerSocket(hostId, address, {
       keys: options.keys(),
-      localIp,
+      localIp: parseAddress(options.address).ip,
       timeoutMs: CONNECT_TIMEOUT_MS,
     });
     const connection = createPeerConnection(
@@ -79,7 +75,6 @@
       clock,
       (kind, body, signal) => handleRequest(hostId, kind, body, signal),
       options.keepaliveTimeoutMs,
-      () => checkReachable(address, localIp, REACHABLE_TIMEOUT_MS),
     );
     void connection.closed.then(() => {
       bytesOfClosedConnections += connection.countBytes();
