Log how far a broken attempt got and which prompt parts it carried

Of the engines that crashed one after the other, the logs could not tell whether the requests under which they ended had something in common, nor whether their answers had begun: the line of a failed attempt had neither the parts of the prompt nor the events of that attempt, and no metric counted broken streams. recordAttempt moved to a file of its own.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -12,6 +12,7 @@
 export { createFleet, type Fleet, type FleetOptions } from './lib/createFleet.js';
 export {
   createRelayMetrics,
+  type BreakProgress,
   type RelayMetrics,
   type StageRequestOutcome,
 } from './lib/createRelayMetrics.js';
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -12,6 +12,7 @@
 import type { CallerConnection } from './CallerConnection.js';
 import type { InputBytes } from './chooseBackend.js';
 import type { Backend } from './createBackends.js';
+import type { RelayMetrics } from './createRelayMetrics.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
 import type { Route } from './RelayConfiguration.js';
 import type { Responder } from './Responder.js';
@@ -54,6 +55,7 @@
     attemptedIds: ReadonlySet<BackendServerId>,
   ) => ChosenBackend | undefined;
   readonly budget: RetryBudget;
+  readonly metrics: Pick<RelayMetrics, 'recordBrokenStream'>;
   /** Source of the jitter in retry delays. */
   readonly random: Random;
   /** Called when the address of a server turns out to belong to another server. */
--- a/packages/relay/src/lib/ForwardState.ts
+++ b/packages/relay/src/lib/ForwardState.ts
@@ -4,6 +4,14 @@
 import type { StreamRelay } from './createStreamRelay.js';
 import type { ForwardOptions, ForwardRequest } from './ForwardRequest.js';
 
+/** How far the response to one attempt got. @internal */
+export interface AttemptProgress {
+  /** Whether the status and the headers of the response arrived. */
+  hasHead: boolean;
+  /** Number of events that earlier attempts forwarded. */
+  readonly eventsBefore: number;
+}
+
 /** State of a request while it is forwarded. @internal */
 export interface ForwardState {
   /** Replaced when its inputs are renewed. */
@@ -19,6 +27,8 @@
   sentAt: number | undefined;
   /** Time that the current attempt waited for a connection, in milliseconds. */
   connectMs: number | undefined;
+  /** How far the current attempt got. */
+  attempt: AttemptProgress;
   lastEventAt: number;
   running: RunningCall | undefined;
   hasRenewedInputs: boolean;
--- a/packages/relay/src/lib/createRelayMetrics.ts
+++ b/packages/relay/src/lib/createRelayMetrics.ts
@@ -14,10 +14,20 @@
  */
 export type StageRequestOutcome = 'answered' | 'unanswered' | 'abandoned';
 
+/**
+ * How far a stream got before its server broke it off: `no-head` before the headers of the
+ * response, `no-event` before the first event, `events` later.
+ *
+ * @public
+ */
+export type BreakProgress = 'no-head' | 'no-event' | 'events';
+
 /** Counters of what becomes of requests and of work at stages. @public */
 export interface RelayMetrics {
   /** Counts a caller that disconnected before its response was complete. */
   recordDisconnect(wasSent: boolean): void;
+  /** Counts a stream that its backend server broke off. */
+  recordBrokenStream(poolId: PoolId, progress: BreakProgress): void;
   recordStageRequest(poolId: PoolId, outcome: StageRequestOutcome): void;
   recordPieceCall(poolId: PoolId, outcome: BatchOutcome['kind']): void;
   /** Counts results that no request needed any more when they were made. */
@@ -37,6 +47,11 @@
     'callers that disconnected early, by whether their request had been sent to a backend server',
     ['sent'],
   );
+  const brokenStreams = metrics.registerCounter(
+    'endiveferry_broken_streams_total',
+    'streams that a backend server broke off, by how far they got',
+    ['pool', 'progress'],
+  );
   const stageRequests = metrics.registerCounter(
     'endiveferry_stage_requests_total',
     'requests between hosts to run a stage',
@@ -54,6 +69,7 @@
   );
   return {
     recordDisconnect: (wasSent) => disconnects({ sent: String(wasSent) }),
+    recordBrokenStream: (pool, progress) => brokenStreams({ pool, progress }),
     recordStageRequest: (pool, outcome) => stageRequests({ pool, outcome }),
     recordPieceCall: (pool, outcome) => pieceCalls({ pool, outcome }),
     recordUnusedResult: (pool) => unusedResults({ pool }),
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -57,7 +57,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly relayMetrics: Pick<RelayMetrics, 'recordDisconnect'>;
+  readonly relayMetrics: Pick<RelayMetrics, 'recordDisconnect' | 'recordBrokenStream'>;
   /** Returns the longest recent delay of this process's event loop, in milliseconds. */
   readonly findLoopDelayMs: () => number;
   readonly protocol: WireProtocol;
@@ -183,6 +183,7 @@
         protocol,
         choose,
         budget: getRetryBudget(poolId),
+        metrics: options.relayMetrics,
         onServerReplaced: options.onServerReplaced,
         random,
       },
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -6,7 +6,6 @@
 } from '@endiveferry/base';
 import type { ResponseStart } from '@endiveferry/routing';
 
-import type { Backend } from './createBackends.js';
 import type {
   ChosenBackend,
   ForwardOutcome,
@@ -18,10 +17,12 @@
 import type { ForwardState } from './ForwardState.js';
 import { getExecution, classifyAttempt, type AttemptOutcome } from './classifyAttempt.js';
 import { isRepeatable } from './RelayConfiguration.js';
+import { recordAttempt } from './recordAttempt.js';
 import { sendFailure } from './sendFailure.js';
 
 /** Number of failed connection attempts after which a request fails. */
 const MAX_CONNECT_FAILURES = 3;
+
 function startStream(state: ForwardState, start: ResponseStart): boolean {
   const { request, options, relay } = state;
   const metadata = options.protocol.parseResponse(start.status, start.headers);
@@ -51,6 +52,7 @@
   const startedAt = options.clock.now();
   state.running = running;
   state.connectMs = undefined;
+  state.attempt = { hasHead: false, eventsBefore: relay.countEvents() };
   const result = await backend.connections.send({
     method: callerRequest.method,
     path: callerRequest.target,
@@ -70,6 +72,7 @@
       state.connectMs = now - startedAt;
     },
     onStart(start) {
+      state.attempt.hasHead = true;
       stream.hasStarted = startStream(state, start);
       return stream.hasStarted;
     },
@@ -87,32 +90,6 @@
   };
 }
 
-function recordAttempt(state: ForwardState, backend: Backend, outcome: AttemptOutcome): void {
-  const { request, options } = state;
-  const { serverId } = backend.server;
-  if ('metadata' in outcome && outcome.metadata.load !== undefined)
-    backend.recordLoad(outcome.metadata.load);
-  if (outcome.kind === 'success') backend.recordSuccess();
-  else if (outcome.kind === 'refused' && outcome.metadata.isMisdirected)
-    options.onServerReplaced(serverId);
-  else if (outcome.kind === 'failure-answer') backend.recordErrorResponse();
-  // A disconnect of the caller is not a failure of the server.
-  else if (outcome.kind !== 'refused' && !request.connection.signal.aborted)
-    backend.recordFailure();
-  if (outcome.kind === 'success') return;
-  options.logger.warn('attempt at a backend server failed', {
-    requestId: request.metadata.requestId,
-    backendServer: serverId,
-    pool: request.poolId,
-    outcome: outcome.kind,
-    execution: getExecution(outcome),
-    detail: 'detail' in outcome ? outcome.detail : `status ${outcome.response.status}`,
-    connectMs: state.connectMs === undefined ? undefined : Math.round(state.connectMs),
-    tries: state.sentAttempts,
-    events: state.relay.countEvents(),
-  });
-}
-
 /** Reserves an attempt at another server; false when no further attempt is allowed. */
 function reserveRetry(state: ForwardState, outcome: AttemptOutcome): boolean {
   const { request, options } = state;
@@ -226,6 +203,7 @@
     firstEventAt: undefined,
     sentAt: undefined,
     connectMs: undefined,
+    attempt: { hasHead: false, eventsBefore: 0 },
     lastEventAt: 0,
     running: undefined,
     hasRenewedInputs: false,
--- /dev/null
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -0,0 +1,66 @@
+import { getExecution, type AttemptOutcome } from './classifyAttempt.js';
+import type { Backend } from './createBackends.js';
+import type { BreakProgress } from './createRelayMetrics.js';
+import type { ForwardState } from './ForwardState.js';
+
+/** Number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
+
+/** Returns the number of events that the current attempt forwarded. */
+const countAttemptEvents = ({ relay, attempt }: ForwardState) =>
+  relay.countEvents() - attempt.eventsBefore;
+
+/** Returns how far a stream got that its server broke off; undefined for any other outcome. */
+function findBreakProgress(
+  state: ForwardState,
+  outcome: AttemptOutcome,
+): BreakProgress | undefined {
+  const isBroken = outcome.kind === 'broken' && outcome.reason === 'connection-lost';
+  if (!isBroken || state.request.route.kind !== 'streaming') return undefined;
+  if (countAttemptEvents(state) > 0) return 'events';
+  return state.attempt.hasHead ? 'no-event' : 'no-head';
+}
+
+/**
+ * Records the outcome of an attempt in the state of its server, the metrics and the log.
+ *
+ * @param state - the request, after the attempt
+ * @param backend - the server
+ * @param outcome - the outcome of the attempt
+ * @internal
+ */
+export function recordAttempt(
+  state: ForwardState,
+  backend: Backend,
+  outcome: AttemptOutcome,
+): void {
+  const { request, options } = state;
+  const { serverId } = backend.server;
+  if ('metadata' in outcome && outcome.metadata.load !== undefined)
+    backend.recordLoad(outcome.metadata.load);
+  if (outcome.kind === 'success') backend.recordSuccess();
+  else if (outcome.kind === 'refused' && outcome.metadata.isMisdirected)
+    options.onServerReplaced(serverId);
+  else if (outcome.kind === 'failure-answer') backend.recordErrorResponse();
+  // A disconnect of the caller is not a failure of the server.
+  else if (outcome.kind !== 'refused' && !request.connection.signal.aborted)
+    backend.recordFailure();
+  if (outcome.kind === 'success') return;
+  const progress = findBreakProgress(state, outcome);
+  if (progress !== undefined) options.metrics.recordBrokenStream(request.poolId, progress);
+  options.logger.warn('attempt at a backend server failed', {
+    requestId: request.metadata.requestId,
+    backendServer: serverId,
+    pool: request.poolId,
+    workspace: request.workspaceId,
+    outcome: outcome.kind,
+    execution: getExecution(outcome),
+    detail: 'detail' in outcome ? outcome.detail : `status ${outcome.response.status}`,
+    connectMs: state.connectMs === undefined ? undefined : Math.round(state.connectMs),
+    tries: state.sentAttempts,
+    events: state.relay.countEvents(),
+    hasHead: state.attempt.hasHead,
+    attemptEvents: countAttemptEvents(state),
+    parts: request.metadata.promptParts.slice(0, MAX_LOGGED_PARTS).map(({ partId }) => partId),
+  });
+}
