Stop sending prompt parts under which engines crash

Cause: an attempt that broke counted against its server alone. Nothing remembered what the broken requests had in common, and no two of them were alike or came to the same host, so no host could have told. Class of fault: failures charged to the server although the request causes them.

Now each host keeps, for the parts that requests share, the crashes before a first event and the last answer, and hosts exchange both in heartbeats, at once when it matters. Three crashes without an answer in between block a part at every host; a host that starts adopts the block from the first heartbeat. A part that sound requests share is answered all the time, which refutes the evidence against it, also after a block, and at whichever host. Requests with a blocked part are rejected as not run, without Retry-After: at admission, before each attempt and right before the call is written.

Tests: simulated fleets of 6, 20 and 70 hosts with lost heartbeats and restarts; real hosts before engines that crash.

--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -24,6 +24,7 @@
   'bad-answer': 502,
   cancelled: 499,
   draining: 503,
+  'part-blocked': 503,
   internal: 500,
 };
 
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -8,7 +8,6 @@
   hostIdSchema,
   processIdSchema,
   type BackendServerId,
-  type PoolId,
 } from '@endiveferry/base';
 import {
   createBackends,
@@ -19,8 +18,6 @@
   createServerList,
   createStageClient,
   createDualClock,
-  createWaitTable,
-  findWaitMs,
   type Fleet,
   type HostEnvironment,
   type RelayService,
@@ -28,13 +25,16 @@
   type StoreListener,
   type WireProtocol,
 } from '@endiveferry/relay';
+import { createCrashTracker } from '@endiveferry/routing';
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
+import { createAnnouncer } from './createAnnouncer.js';
 import { createDispatchers } from './createDispatchers.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createMetricsListener } from './createMetricsListener.js';
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
+import { createStageWaits } from './createStageWaits.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -93,6 +93,11 @@
     onCrash: (path, error) =>
       logger.error('task failed; restarting it', { path, error: describeError(error) }),
   });
+  metrics.registerGauge(
+    'endiveferry_blocked_parts',
+    'prompt parts that are not sent because backend servers crash under them',
+    () => [{ labels: {}, value: crashes.countBlocked() }],
+  );
   let isStopping = false;
   let isRejecting = false;
 
@@ -119,10 +124,20 @@
     backends,
     onServerReplaced,
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
-    estimateWaitMs: (poolId, rank) => estimateWaitMs(poolId, rank),
+    estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
   });
   const findFleet = () => fleet;
-  const waits = createWaitTable(clock);
+  const waits = createStageWaits({
+    clock,
+    findDispatcher: dispatchers.find,
+    listPools: dispatchers.listPools,
+    findFleet,
+  });
+  const crashes = createCrashTracker({
+    clock,
+    logger,
+    onChange: createAnnouncer(clock, () => fleet.announce()),
+  });
   const stages = createStageClient({
     clock,
     logger,
@@ -142,10 +157,11 @@
     protocol,
     configurationTracker,
     backends,
+    crashes,
     stages,
     countHosts,
     countOtherHostsTokens,
-    estimateWaitMs,
+    estimateWaitMs: waits.estimateMs,
     isRejecting: () => isRejecting,
     onServerReplaced,
   });
@@ -177,23 +193,6 @@
     );
   }
 
-  const listOwnWaits = (poolId: PoolId) => dispatchers.find(poolId)?.listWaits() ?? [];
-
-  /** Returns the waiting time that the pool's dispatcher, on this or another host, last reported. */
-  function estimateWaitMs(poolId: PoolId, rank: number): number {
-    return fleet.isDispatcher(poolId)
-      ? findWaitMs(listOwnWaits(poolId), rank)
-      : waits.find(poolId, rank);
-  }
-
-  /** Lists the waiting times of this host's dispatchers and those that other hosts reported. */
-  function listReportedWaits() {
-    const ownPools = dispatchers.listPools().filter(fleet.isDispatcher);
-    const otherWaits = waits.list().filter(({ poolId }) => !ownPools.includes(poolId));
-    const ownWaits = ownPools.map((poolId) => ({ poolId, ageMs: 0, byRank: listOwnWaits(poolId) }));
-    return [...ownWaits, ...otherWaits];
-  }
-
   const storeListener: StoreListener = {
     onConfiguration: (document, requestedAt) =>
       configurationTracker.apply(document, requestedAt, 'the store'),
@@ -229,9 +228,16 @@
     configurationTracker,
     servers,
     isStopping: () => isStopping,
-    buildLoad: () => ({ waits: listReportedWaits(), pending: backends.listPending() }),
+    buildLoad: () => ({
+      waits: waits.listReported(),
+      pending: backends.listPending(),
+      suspects: crashes.listReports(),
+    }),
     listStagePools: dispatchers.listPools,
-    recordWaits: waits.record,
+    onHeartbeat(heartbeat, from) {
+      for (const reported of heartbeat.waits) waits.record(reported);
+      crashes.applyReports(heartbeat.suspects, `host ${from}`);
+    },
     handleRequest: stages.handleRequest,
   });
   const callers = await listener.listen(environment.callersAddress);
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -37,6 +37,7 @@
   'bad-answer',
   'cancelled',
   'draining',
+  'part-blocked',
   'internal',
 ]);
 
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -7,6 +7,7 @@
   Random,
   WorkspaceId,
 } from '@endiveferry/base';
+import type { CrashTracker } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
 import type { CallerConnection } from './CallerConnection.js';
@@ -55,6 +56,7 @@
     attemptedIds: ReadonlySet<BackendServerId>,
   ) => ChosenBackend | undefined;
   readonly budget: RetryBudget;
+  readonly crashes: CrashTracker;
   readonly metrics: Pick<RelayMetrics, 'recordBrokenStream'>;
   /** Source of the jitter in retry delays. */
   readonly random: Random;
--- a/packages/relay/src/lib/ForwardState.ts
+++ b/packages/relay/src/lib/ForwardState.ts
@@ -8,6 +8,8 @@
 export interface AttemptProgress {
   /** Whether the status and the headers of the response arrived. */
   hasHead: boolean;
+  /** Time at which the request was written; undefined if it was not. */
+  sentAt: number | undefined;
   /** Number of events that earlier attempts forwarded. */
   readonly eventsBefore: number;
 }
@@ -33,3 +35,14 @@
   running: RunningCall | undefined;
   hasRenewedInputs: boolean;
 }
+
+/**
+ * Counts the events that the current attempt has forwarded.
+ *
+ * @param state - the request
+ * @returns the number of events
+ * @internal
+ */
+export function countAttemptEvents({ relay, attempt }: ForwardState): number {
+  return relay.countEvents() - attempt.eventsBefore;
+}
--- a/packages/relay/src/lib/admitRequest.ts
+++ b/packages/relay/src/lib/admitRequest.ts
@@ -6,8 +6,10 @@
   type PoolId,
   type Random,
 } from '@endiveferry/base';
+import type { CrashTracker } from '@endiveferry/routing';
 import { err, ok, type Result } from 'neverthrow';
 
+import { checkPromptParts } from './checkPromptParts.js';
 import type { ConfigurationTracker, ActiveConfiguration } from './createConfigurationTracker.js';
 import { choosePool } from './createRouteTable.js';
 import type { RequestMetadata, CallerRequest } from './ports.js';
@@ -42,6 +44,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly configurationTracker: ConfigurationTracker;
+  readonly crashes: Pick<CrashTracker, 'findBlockedPart'>;
 }
 
 const reject = (reason: FailureReason, detail: string) => err(createNotRunFailure(reason, detail));
@@ -89,7 +92,7 @@
 export function admitRequest(
   callerRequest: CallerRequest,
   metadata: RequestMetadata,
-  { clock, random, configurationTracker }: AdmissionOptions,
+  { clock, random, configurationTracker, crashes }: AdmissionOptions,
 ): Result<AdmittedRequest, Failure> {
   const arrivedAt = clock.now();
   const active = configurationTracker.current();
@@ -106,6 +109,8 @@
     );
   const workspace = authenticate({ route, active, metadata }, configurationTracker);
   if (workspace.isErr()) return err(workspace.error);
+  const partFailure = checkPromptParts(metadata.promptParts, crashes);
+  if (partFailure !== undefined) return err(partFailure);
   const poolId = choosePool(route, random);
   if (poolId === undefined) return reject('no-backend-server', 'the route has no pool');
   const remainingMs = metadata.remainingMs ?? route.timeoutMs;
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -6,6 +6,7 @@
 
 import { countTokens } from './countTokens.js';
 import type { Backend } from './createBackends.js';
+import { listSharedParts } from './listSharedParts.js';
 import type { PromptCache } from './createPromptCache.js';
 import type { PromptPart } from './ports.js';
 
@@ -145,9 +146,6 @@
   });
 }
 
-/** The last part is specific to the request. */
-const listSharedParts = (promptParts: readonly PromptPart[]) => promptParts.slice(0, -1);
-
 /**
  * Finds the engine that requests with the same shared prompt parts are sent to. All hosts find the
  * same engine.
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -29,7 +29,6 @@
   serverListReplySchema,
   relayHeartbeatCodec,
   type RelayHeartbeat,
-  type ReportedWaits,
 } from './messages.js';
 import type { HostEnvironment, WireProtocol } from './ports.js';
 
@@ -88,12 +87,12 @@
   readonly configurationTracker: ConfigurationTracker;
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
-  /** Builds the part of a heartbeat on dispatchers and on the engines that this host uses. */
-  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending'>;
+  /** Builds the part of a heartbeat on dispatchers, on engines in use, and on suspect prompts. */
+  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending' | 'suspects'>;
   /** Returns the pools whose pieces are run through a dispatcher. */
   readonly listStagePools: () => readonly PoolId[];
-  /** Records waiting times that other hosts report. */
-  readonly recordWaits: (waits: ReportedWaits) => void;
+  /** Called with the heartbeats of other hosts. */
+  readonly onHeartbeat: (heartbeat: RelayHeartbeat, from: HostId) => void;
   readonly handleRequest: HandleFleetRequest;
 }
 
@@ -181,7 +180,7 @@
     requestedAt: number | undefined,
   ) {
     members.recordHeartbeat(id, heartbeat);
-    for (const waits of heartbeat.waits) options.recordWaits(waits);
+    options.onHeartbeat(heartbeat, id);
     if (requestedAt !== undefined && heartbeat.confirmedAgeMs !== undefined) {
       // The reported age counts from the request, so this is an upper bound.
       const confirmationAgeMs = clock.now() - requestedAt + heartbeat.confirmedAgeMs;
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -30,6 +30,7 @@
   hosts,
   waits: [],
   pending: [],
+  suspects: [],
 });
 
 function createHarness(links: HostId[] = [linked]) {
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -8,6 +8,7 @@
   type Random,
 } from '@endiveferry/base';
 import { createRetryBudget, type RetryBudget } from '@endiveferry/admission';
+import type { CrashTracker } from '@endiveferry/routing';
 import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err } from 'neverthrow';
 
@@ -63,6 +64,7 @@
   readonly protocol: WireProtocol;
   readonly configurationTracker: ConfigurationTracker;
   readonly backends: Backends;
+  readonly crashes: CrashTracker;
   readonly stages: StageClient;
   readonly countHosts: () => number;
   /** Returns the number of unread prompt tokens of other hosts' requests at an engine. */
@@ -183,6 +185,7 @@
         protocol,
         choose,
         budget: getRetryBudget(poolId),
+        crashes: options.crashes,
         metrics: options.relayMetrics,
         onServerReplaced: options.onServerReplaced,
         random,
@@ -254,7 +257,7 @@
     const admitted = metadata.andThen((parsed) =>
       options.isRejecting()
         ? err(createNotRunFailure('draining', 'this host is stopping'))
-        : admitRequest(callerRequest, parsed, { clock, random, configurationTracker }),
+        : admitRequest(callerRequest, parsed, options),
     );
     if (admitted.isErr()) {
       const failure = admitted.error;
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -12,10 +12,12 @@
   ForwardOptions,
   ForwardRequest,
 } from './ForwardRequest.js';
+import { checkPromptParts } from './checkPromptParts.js';
 import { createStreamRelay } from './createStreamRelay.js';
 import { abortOnTimeout } from './abortOnTimeout.js';
-import type { ForwardState } from './ForwardState.js';
+import { countAttemptEvents, type ForwardState } from './ForwardState.js';
 import { getExecution, classifyAttempt, type AttemptOutcome } from './classifyAttempt.js';
+import { listSharedPartIds } from './listSharedParts.js';
 import { isRepeatable } from './RelayConfiguration.js';
 import { recordAttempt } from './recordAttempt.js';
 import { sendFailure } from './sendFailure.js';
@@ -52,7 +54,7 @@
   const startedAt = options.clock.now();
   state.running = running;
   state.connectMs = undefined;
-  state.attempt = { hasHead: false, eventsBefore: relay.countEvents() };
+  state.attempt = { hasHead: false, sentAt: undefined, eventsBefore: relay.countEvents() };
   const result = await backend.connections.send({
     method: callerRequest.method,
     path: callerRequest.target,
@@ -66,9 +68,12 @@
     }),
     ...(callerRequest.body.length > 0 ? { rawBody: callerRequest.body } : {}),
     signal: controller.signal,
+    // The call may have waited for a connection since the last check.
+    maySend: () => checkPromptParts(metadata.promptParts, options.crashes) === undefined,
     onSent() {
       const now = options.clock.now();
       state.sentAt ??= now;
+      state.attempt.sentAt = now;
       state.connectMs = now - startedAt;
     },
     onStart(start) {
@@ -186,6 +191,8 @@
     resumeAfter: request.metadata.lastEventId,
     onEvent() {
       state.lastEventAt = clock.now();
+      if (countAttemptEvents(state) === 1)
+        options.crashes.recordAnswer(listSharedPartIds(request.metadata.promptParts));
       if (state.firstEventAt !== undefined) return;
       state.firstEventAt = state.lastEventAt;
       state.running?.recordFirstEvent();
@@ -203,7 +210,7 @@
     firstEventAt: undefined,
     sentAt: undefined,
     connectMs: undefined,
-    attempt: { hasHead: false, eventsBefore: 0 },
+    attempt: { hasHead: false, sentAt: undefined, eventsBefore: 0 },
     lastEventAt: 0,
     running: undefined,
     hasRenewedInputs: false,
@@ -212,6 +219,11 @@
   let outcome: AttemptOutcome | undefined;
   for (;;) {
     if (!(await request.connection.confirm())) return sendResponse(state, outcome);
+    const partFailure = checkPromptParts(request.metadata.promptParts, options.crashes);
+    if (partFailure !== undefined) {
+      const { reason, detail } = partFailure;
+      return sendResponse(state, { kind: 'not-sent', reason, detail });
+    }
     const chosen = options.choose(state.request, state.attemptedIds);
     if (chosen === undefined) return sendResponse(state, outcome);
     const { backend } = chosen;
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -7,6 +7,7 @@
   requestIdSchema,
 } from '@endiveferry/base';
 import type { HeartbeatCodec } from '@endiveferry/peers';
+import { suspectReportSchema } from '@endiveferry/routing';
 import { z } from 'zod';
 
 import { rankWaitSchema } from './pieces/RankWait.js';
@@ -49,6 +50,8 @@
   waits: z.array(reportedWaitsSchema).default([]),
   /** Number of unread prompt tokens of this host's requests, per engine. */
   pending: z.array(z.object({ serverId: backendServerIdSchema, tokens: z.number() })).default([]),
+  /** Prompt parts that may crash backend servers, and parts that others wrongly suspect. */
+  suspects: z.array(suspectReportSchema).default([]),
 });
 
 /** State that relay hosts send each other periodically. @public */
--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -1,14 +1,16 @@
 import { getExecution, type AttemptOutcome } from './classifyAttempt.js';
 import type { Backend } from './createBackends.js';
 import type { BreakProgress } from './createRelayMetrics.js';
-import type { ForwardState } from './ForwardState.js';
+import { countAttemptEvents, type ForwardState } from './ForwardState.js';
+import { listSharedPartIds } from './listSharedParts.js';
 
 /** Number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
-
-/** Returns the number of events that the current attempt forwarded. */
-const countAttemptEvents = ({ relay, attempt }: ForwardState) =>
-  relay.countEvents() - attempt.eventsBefore;
+/**
+ * Minimum time from the request to a break without a response that may be a crash, in milliseconds.
+ * A server resets at once what it receives on an idle connection that it has dropped.
+ */
+const MIN_RUN_MS = 20;
 
 /** Returns how far a stream got that its server broke off; undefined for any other outcome. */
 function findBreakProgress(
@@ -21,6 +23,13 @@
   return state.attempt.hasHead ? 'no-event' : 'no-head';
 }
 
+/** Returns whether the server may have crashed as it began its response. */
+function isLikelyCrash({ attempt, options }: ForwardState, progress: BreakProgress): boolean {
+  const sentAt = attempt.sentAt ?? Infinity;
+  const hasRun = progress === 'no-event' || options.clock.now() - sentAt >= MIN_RUN_MS;
+  return progress !== 'events' && hasRun;
+}
+
 /**
  * Records the outcome of an attempt in the state of its server, the metrics and the log.
  *
@@ -48,6 +57,8 @@
   if (outcome.kind === 'success') return;
   const progress = findBreakProgress(state, outcome);
   if (progress !== undefined) options.metrics.recordBrokenStream(request.poolId, progress);
+  if (progress !== undefined && isLikelyCrash(state, progress))
+    options.crashes.recordCrash(serverId, listSharedPartIds(request.metadata.promptParts));
   options.logger.warn('attempt at a backend server failed', {
     requestId: request.metadata.requestId,
     backendServer: serverId,
@@ -58,6 +69,10 @@
     detail: 'detail' in outcome ? outcome.detail : `status ${outcome.response.status}`,
     connectMs: state.connectMs === undefined ? undefined : Math.round(state.connectMs),
     tries: state.sentAttempts,
+    ranMs:
+      state.attempt.sentAt === undefined
+        ? undefined
+        : Math.round(options.clock.now() - state.attempt.sentAt),
     events: state.relay.countEvents(),
     hasHead: state.attempt.hasHead,
     attemptEvents: countAttemptEvents(state),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,12 @@
 export { createPoolRouter } from './lib/createPoolRouter.js';
 export type { PoolRouter, PoolRouterOptions, ServerLease, ServerStatus } from './lib/PoolRouter.js';
 export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
+export {
+  createCrashTracker,
+  type BlockedPart,
+  type CrashTracker,
+  type CrashTrackerOptions,
+} from './lib/createCrashTracker.js';
 export { createResponseBudget, type ResponseBudget } from './lib/createResponseBudget.js';
 export {
   createServerConnections,
@@ -13,6 +19,7 @@
 } from './lib/createServerConnections.js';
 export { createServerHealth, type ServerHealth } from './lib/createServerHealth.js';
 export { loadReportSchema, type LoadReport } from './lib/LoadReport.js';
+export { suspectReportSchema, type SuspectReport } from './lib/SuspectReport.js';
 export {
   sendCall,
   type Call,
--- a/tools/run-soak.mjs
+++ b/tools/run-soak.mjs
@@ -14,6 +14,7 @@
   'packages/pipeline/dist/lib/runStage.test.js',
   'apps/daemon/dist/lib/createControlState.test.js',
   'packages/relay/dist/lib/createConfigurationTracker.test.js',
+  'packages/relay/dist/lib/crashReports.test.js',
   'packages/relay/dist/lib/pieces/dispatcherInvariants.test.js',
 ];
 // fast-check prints the seed, the path and the shrunk counterexample of each failure.
