Treat a stream without length that ends before its first event as broken off

A stream may come with neither a length nor chunks and end with its connection. An engine that crashes as it begins such a response closes the connection after the headers, and the caller got 200 with an empty stream (the test, before: 200, expected 502); the crash was also counted as a success of the server. No event and no length prove nothing; a stream that is resumed after its last event may still end without one.

--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -16,7 +16,12 @@
 import { createStreamRelay } from './createStreamRelay.js';
 import { abortOnTimeout } from './abortOnTimeout.js';
 import { countAttemptEvents, type ForwardState } from './ForwardState.js';
-import { getExecution, classifyAttempt, type AttemptOutcome } from './classifyAttempt.js';
+import {
+  getExecution,
+  classifyAttempt,
+  type AttemptOutcome,
+  type BackendResponse,
+} from './classifyAttempt.js';
 import { listSharedPartIds } from './listSharedParts.js';
 import { isRepeatable } from './RelayConfiguration.js';
 import { recordAttempt } from './recordAttempt.js';
@@ -87,12 +92,23 @@
   controller.abort(NO_LONGER_NEEDED);
   request.connection.signal.removeEventListener('abort', abort);
   const outcome = classifyAttempt(result, metadata.requestId, options.protocol);
-  if (outcome.kind !== 'success' || !stream.hasStarted || relay.end()) return outcome;
-  return {
-    kind: 'broken',
-    reason: 'connection-lost',
-    detail: 'the stream ended in the middle of an event',
-  };
+  if (outcome.kind !== 'success' || !stream.hasStarted) return outcome;
+  const reason = 'connection-lost';
+  if (isEmptyUntilClose(state, outcome.response)) {
+    return { kind: 'broken', reason, detail: 'the stream ended before its first event' };
+  }
+  if (relay.end()) return outcome;
+  return { kind: 'broken', reason, detail: 'the stream ended in the middle of an event' };
+}
+
+/**
+ * Returns whether a stream without a length, which ends with its connection, ended without any
+ * event: a server that crashes as it begins its response leaves the same bytes.
+ */
+function isEmptyUntilClose({ relay }: ForwardState, { headers }: BackendResponse): boolean {
+  const hasLength =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return !hasLength && relay.lastEventId() === undefined && relay.countEvents() === 0;
 }
 
 /** Reserves an attempt at another server; false when no further attempt is allowed. */
