Log the limits that backend servers name

Nothing in the hosts read Server-Limit, so neither log nor metrics could tell when a host was told a limit, by which server, and when it ended. Responses of requests and of stage calls are now read for it: a line per change and the gauge endiveferry_limited_servers. The decisions are unchanged. createRelayService and createRelayHost lose a part each to files of their own.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -1,3 +1,4 @@
+import type { ServerLimits } from '@endiveferry/admission';
 import type { BackendServerId, Clock, PoolId } from '@endiveferry/base';
 import {
   createPieceDispatcher,
@@ -40,6 +41,7 @@
   readonly metrics: RelayMetrics;
   readonly protocol: WireProtocol;
   readonly backends: Backends;
+  readonly limits: ServerLimits;
   /** Called when another server responds at the address of a listed one. */
   readonly onServerReplaced: (serverId: BackendServerId) => void;
   /** Takes one retry from the budget of a pool and returns whether the budget allowed it. */
@@ -58,10 +60,12 @@
   const { clock, logger, protocol, backends } = options;
   const dispatchers = new Map<PoolId, PieceDispatcher>();
 
-  function parseResult(result: CallResult, count: number): BatchOutcome {
+  function parseResult(serverId: BackendServerId, result: CallResult, count: number): BatchOutcome {
     if (result.kind !== 'answered') return { kind: 'failed', detail: result.detail };
     const metadata = protocol.parseResponse(result.status, result.headers);
     if (metadata.isMisdirected) return { kind: 'gone' };
+    if (result.status === 200 || metadata.isRejection)
+      options.limits.recordAnswer(serverId, metadata.perSecondLimit);
     if (metadata.isRejection) return { kind: 'full' };
     const outcomes = protocol.parsePiecesResponse(result.body, count);
     if (result.status === 200 && outcomes !== undefined) return { kind: 'answered', outcomes };
@@ -80,7 +84,7 @@
       maxResponseBytes: MAX_STAGE_RESPONSE_BYTES,
       signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
     });
-    return parseResult(result, pieces.length);
+    return parseResult(serverId, result, pieces.length);
   }
 
   function sendFree({ serverId }: ListedServer, handles: readonly string[]): void {
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 
+import { createServerLimits } from '@endiveferry/admission';
 import {
   createRandom,
   createSupervisor,
@@ -22,7 +23,6 @@
   type HostEnvironment,
   type RelayService,
   type StoreReaderOptions,
-  type StoreListener,
   type WireProtocol,
 } from '@endiveferry/relay';
 import { createCrashTracker } from '@endiveferry/routing';
@@ -35,6 +35,8 @@
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
 import { createStageWaits } from './createStageWaits.js';
+import { createStoreListener } from './createStoreListener.js';
+import { registerRelayGauges } from './registerRelayGauges.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -93,11 +95,6 @@
     onCrash: (path, error) =>
       logger.error('task failed; restarting it', { path, error: describeError(error) }),
   });
-  metrics.registerGauge(
-    'endiveferry_blocked_parts',
-    'prompt parts that are not sent because backend servers crash under them',
-    () => [{ labels: {}, value: crashes.countBlocked() }],
-  );
   let isStopping = false;
   let isRejecting = false;
 
@@ -116,12 +113,14 @@
   const servers = createServerList(clock, logger, applyServers);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
+  const limits = createServerLimits({ logger });
   const dispatchers = createDispatchers({
     clock,
     logger,
     metrics: relayMetrics,
     protocol,
     backends,
+    limits,
     onServerReplaced,
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
     estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
@@ -158,6 +157,7 @@
     configurationTracker,
     backends,
     crashes,
+    limits,
     stages,
     countHosts,
     countOtherHostsTokens,
@@ -175,6 +175,7 @@
   });
   const isReady = () =>
     !isStopping && configurationTracker.current() !== undefined && servers.revision() > 0;
+  registerRelayGauges(metrics, { crashes, limits });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
 
@@ -193,22 +194,6 @@
     );
   }
 
-  const storeListener: StoreListener = {
-    onConfiguration: (document, requestedAt) =>
-      configurationTracker.apply(document, requestedAt, 'the store'),
-    onServerList: (list, revision) => servers.replace(list, revision, 'the store'),
-    onServerChanges: (changes, revision) => servers.apply(changes, revision),
-    onReachabilityChange(what, isReachable, detail) {
-      if (what === 'servers' && isReachable) servers.recordStoreRecovery();
-      logger.warn(isReachable ? 'the store is reachable again' : 'the store is unreachable', {
-        what,
-        detail,
-        version: configurationTracker.version(),
-        serversRevision: servers.revision(),
-      });
-    },
-  };
-
   /** Remote ends may have closed connections during the stall. */
   function replaceConnections(pausedMs: number): void {
     logger.warn('event loop stalled; replacing all connections', { pausedMs });
@@ -247,7 +232,7 @@
     random,
     logger,
     supervisor: supervisor.createChild('store'),
-    listener: storeListener,
+    listener: createStoreListener({ logger, configurationTracker, servers }),
     confirmedAgeMs: configurationTracker.confirmedAgeMs,
   });
   const addresses = {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,11 @@
 export { createDemandSmoother, type DemandSmoother } from './lib/createDemandSmoother.js';
 export { createFleetDemand, type FleetDemand, type HostDemand } from './lib/createFleetDemand.js';
 export { createRetryBudget, type RetryBudget } from './lib/createRetryBudget.js';
+export {
+  createServerLimits,
+  type ServerLimits,
+  type ServerLimitsOptions,
+} from './lib/createServerLimits.js';
 export {
   createServiceEstimator,
   type ServiceEstimate,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -1,4 +1,4 @@
-import type { RetryBudget } from '@endiveferry/admission';
+import type { RetryBudget, ServerLimits } from '@endiveferry/admission';
 import type {
   BackendServerId,
   Clock,
@@ -57,6 +57,7 @@
   ) => ChosenBackend | undefined;
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
+  readonly limits: Pick<ServerLimits, 'recordAnswer'>;
   readonly metrics: Pick<RelayMetrics, 'recordBrokenStream'>;
   /** Source of the jitter in retry delays. */
   readonly random: Random;
--- a/packages/relay/src/lib/classifyAttempt.test.ts
+++ b/packages/relay/src/lib/classifyAttempt.test.ts
@@ -13,6 +13,7 @@
   isSigned: true,
   requestId: 'r1',
   load: undefined,
+  perSecondLimit: undefined,
   isEventStream: false,
 };
 
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -1,13 +1,11 @@
 import {
   createNotRunFailure,
-  rankIdSchema,
-  workspaceIdSchema,
   type BackendServerId,
   type Clock,
   type PoolId,
   type Random,
 } from '@endiveferry/base';
-import { createRetryBudget, type RetryBudget } from '@endiveferry/admission';
+import { createRetryBudget, type RetryBudget, type ServerLimits } from '@endiveferry/admission';
 import type { CrashTracker } from '@endiveferry/routing';
 import type { Logger, Metrics } from '@endiveferry/telemetry';
 import { err } from 'neverthrow';
@@ -27,12 +25,11 @@
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import type { HostEnvironment, CallerRequest, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
+import { recordOutcome } from './recordOutcome.js';
 import { sendFailure } from './sendFailure.js';
 
 /** Share of the fleet-wide retry budget that is used, because no host knows the fleet exactly. */
 const PLANNED_BUDGET_SHARE = 0.7;
-/** Workspace that requests without a key are accounted to. */
-const PUBLIC_WORKSPACE = workspaceIdSchema.parse('public');
 
 /** Serves callers' requests from arrival to response. @public */
 export interface RelayService {
@@ -65,6 +62,7 @@
   readonly configurationTracker: ConfigurationTracker;
   readonly backends: Backends;
   readonly crashes: CrashTracker;
+  readonly limits: ServerLimits;
   readonly stages: StageClient;
   readonly countHosts: () => number;
   /** Returns the number of unread prompt tokens of other hosts' requests at an engine. */
@@ -85,8 +83,7 @@
  * @public
  */
 export function createRelayService(options: RelayServiceOptions): RelayService {
-  const { environment, clock, random, logger, metrics, protocol, configurationTracker, backends } =
-    options;
+  const { environment, clock, random, logger, protocol, configurationTracker, backends } = options;
   const promptCache = createPromptCache();
   const budgets = new Map<PoolId, RetryBudget>();
   const inputs = createInputPreparer(options);
@@ -186,6 +183,7 @@
         choose,
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
+        limits: options.limits,
         metrics: options.relayMetrics,
         onServerReplaced: options.onServerReplaced,
         random,
@@ -198,56 +196,6 @@
     return outcome;
   }
 
-  /** Records metrics and logs one line: the decision, the state it is based on, and the outcome. */
-  function recordOutcome(
-    admitted: AdmittedRequest,
-    outcome: ForwardOutcome,
-    disconnectedAt: number | undefined,
-  ): void {
-    const { metadata, route, workspace, arrivedAt } = admitted;
-    if (disconnectedAt !== undefined)
-      options.relayMetrics.recordDisconnect(outcome.sentAt !== undefined);
-    const computeSinceArrival = (at: number | undefined) =>
-      at === undefined ? undefined : Math.round(at - arrivedAt);
-    const durationMs = clock.now() - arrivedAt;
-    const firstEventMs = (outcome.firstEventAt ?? clock.now()) - arrivedAt;
-    const { failure } = outcome;
-    const isAttained =
-      failure === undefined && (outcome.status ?? 0) < 400 && firstEventMs <= route.targetLatencyMs;
-    metrics.recordRequest({
-      pipelineId: route.pipelineId,
-      rankId: rankIdSchema.parse(`rank-${admitted.rank}`),
-      workspaceId: workspace?.workspaceId ?? PUBLIC_WORKSPACE,
-      durationMs,
-      isAttained,
-      ...(failure === undefined ? {} : { failure }),
-    });
-    logger.info('request ended', {
-      requestId: metadata.requestId,
-      pipeline: route.pipelineId,
-      pool: admitted.poolId,
-      workspace: workspace?.workspaceId,
-      rank: admitted.rank,
-      version: admitted.active.configuration.version,
-      confirmedAgeMs: Math.round(
-        Math.min(configurationTracker.confirmedAgeMs(), Number.MAX_SAFE_INTEGER),
-      ),
-      status: outcome.status,
-      reason: failure?.reason,
-      execution: failure?.execution,
-      detail: failure?.detail,
-      retryAfterMs: failure?.retryAfterMs,
-      backendServers: outcome.servers,
-      sentMs: computeSinceArrival(outcome.sentAt),
-      disconnectedMs: computeSinceArrival(disconnectedAt),
-      loopDelayMs: Math.round(options.findLoopDelayMs()),
-      firstMs: Math.round(firstEventMs),
-      durationMs: Math.round(durationMs),
-      targetMs: route.targetLatencyMs,
-      timeoutMs: Math.round(admitted.endAt - arrivedAt),
-    });
-  }
-
   async function serveRequest(
     callerRequest: CallerRequest,
     responder: Responder,
@@ -280,7 +228,7 @@
     signal.addEventListener('abort', recordDisconnect, { once: true });
     const outcome = await serveAdmitted(admitted.value, responder, connection);
     signal.removeEventListener('abort', recordDisconnect);
-    recordOutcome(admitted.value, outcome, disconnectedAt);
+    recordOutcome(admitted.value, outcome, disconnectedAt, options);
   }
 
   return {
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -2,6 +2,7 @@
   createNotRunFailure,
   mergeExecution,
   NO_LONGER_NEEDED,
+  type BackendServerId,
   type Failure,
 } from '@endiveferry/base';
 import type { ResponseStart } from '@endiveferry/routing';
@@ -30,13 +31,19 @@
 /** Number of failed connection attempts after which a request fails. */
 const MAX_CONNECT_FAILURES = 3;
 
-function startStream(state: ForwardState, start: ResponseStart): boolean {
+function startResponse(
+  state: ForwardState,
+  serverId: BackendServerId,
+  start: ResponseStart,
+): boolean {
   const { request, options, relay } = state;
   const metadata = options.protocol.parseResponse(start.status, start.headers);
   if (metadata.requestId !== undefined && metadata.requestId !== request.metadata.requestId) {
     start.abort(new Error('the response has the id of another request'));
     return false;
   }
+  if (metadata.isSigned || metadata.isRejection)
+    options.limits.recordAnswer(serverId, metadata.perSecondLimit);
   const isStream = start.status === 200 && metadata.isSigned && metadata.isEventStream;
   if (isStream) relay.startSource(start);
   return isStream;
@@ -83,7 +90,7 @@
     },
     onStart(start) {
       state.attempt.hasHead = true;
-      stream.hasStarted = startStream(state, start);
+      stream.hasStarted = startResponse(state, backend.server.serverId, start);
       return stream.hasStarted;
     },
     onData: (chunk) => relay.push(chunk),
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -84,6 +84,10 @@
   /** Request id in the response; undefined when it has none. */
   readonly requestId: string | undefined;
   readonly load: ReportedLoad | undefined;
+  /**
+   * Requests a second that the server takes from all hosts together; undefined without a limit.
+   */
+  readonly perSecondLimit: number | undefined;
   readonly isEventStream: boolean;
 }
 
--- a/tools/check-names.mjs
+++ b/tools/check-names.mjs
@@ -5,7 +5,7 @@
 
 // The platform's deadline header is not listed: our own API has a header of the same name.
 const NAMES =
-  /[Ee]ndiveferry-(?:attempt-id|expected-instance|instance-|not-executed|prefix-hash|segment|tenant|token-usage|upstream-signature|weight-versions|retention|priority-class)|kv-(?:watch|range|key|move|events)\b|stage-(?:run|free)\b|kv_capacity|route_type|target_latency_ms|warmup_left_ms|headroom_mb|handle_ttl_s|api_keys|node_name|control_plane/i;
+  /[Ee]ndiveferry-(?:attempt-id|expected-instance|instance-|not-executed|prefix-hash|segment|tenant|token-usage|upstream-signature|weight-versions|retention|priority-class)|server-limit|kv-(?:watch|range|key|move|events)\b|stage-(?:run|free)\b|kv_capacity|route_type|target_latency_ms|warmup_left_ms|headroom_mb|handle_ttl_s|api_keys|node_name|control_plane/i;
 
 function listSources(folder) {
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
