Keep the limits that backend servers in need name, over all hosts

Cause: nothing read the limit. Class of fault: a bound that applies to the fleet and that no host can keep by itself. With a share and room for one request per host, 6 hosts send 6 requests at once, 70 hosts 70.

Now all hosts pass on in heartbeats what a server last said of its limit. Rendezvous hashing over the live hosts gives a limited server to one host per request a second and two more; each of them has an equal share of the limit and saves at most one request or half a second of its share. The others leave the server out. A host that becomes a sender starts with nothing, so hosts whose views differ for some seconds stay within the rule. A sender prefers a server that has said nothing for 2 s, so that the end of the limit is heard. The replicas of a stage are called by their dispatcher alone, which gets the whole limit; results there expire instead of being freed by calls. When all servers of a pool have reached their limits, requests are rejected before their stages run.

Tests: six real hosts; simulated fleets of 6, 20 and 70 hosts with lost heartbeats, restarts and differing views.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -121,6 +121,7 @@
             metrics: options.metrics,
             sendPieces,
             sendFree,
+            limits: options.limits,
             onServerReplaced: options.onServerReplaced,
             tryWithdrawRetry: () => options.tryWithdrawRetry(poolId),
             estimateWaitMs: options.estimateWaitMs,
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -113,7 +113,14 @@
   const servers = createServerList(clock, logger, applyServers);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
-  const limits = createServerLimits({ logger });
+  const announceSoon = createAnnouncer(clock, () => fleet.announce());
+  const limits = createServerLimits({
+    clock,
+    logger,
+    hostId: hostIdSchema.parse(environment.ip),
+    listHosts: listLimitSenders,
+    onChange: announceSoon,
+  });
   const dispatchers = createDispatchers({
     clock,
     logger,
@@ -132,11 +139,7 @@
     listPools: dispatchers.listPools,
     findFleet,
   });
-  const crashes = createCrashTracker({
-    clock,
-    logger,
-    onChange: createAnnouncer(clock, () => fleet.announce()),
-  });
+  const crashes = createCrashTracker({ clock, logger, onChange: announceSoon });
   const stages = createStageClient({
     clock,
     logger,
@@ -183,9 +186,18 @@
     const pools = configurationTracker.current()?.configuration.pools;
     if (pools === undefined) return;
     backends.update(servers.list(), pools);
+    limits.update(new Set(servers.list().map(({ serverId }) => serverId)));
     dispatchers.update(pools, servers.list());
   }
 
+  /** Only its dispatcher sends calls to the replicas of a stage, any live host to others. */
+  function listLimitSenders(serverId: BackendServerId) {
+    const poolId = servers.find(serverId)?.poolId;
+    if (poolId === undefined) return [];
+    const hosts = fleet.listDispatchers(poolId);
+    return dispatchers.find(poolId) === undefined ? hosts : hosts.slice(0, 1);
+  }
+
   function countOtherHostsTokens(serverId: BackendServerId): number {
     const pending = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.pending);
     return pending.reduce(
@@ -217,11 +229,13 @@
       waits: waits.listReported(),
       pending: backends.listPending(),
       suspects: crashes.listReports(),
+      limits: limits.listReports(),
     }),
     listStagePools: dispatchers.listPools,
     onHeartbeat(heartbeat, from) {
       for (const reported of heartbeat.waits) waits.record(reported);
       crashes.applyReports(heartbeat.suspects, `host ${from}`);
+      limits.applyReports(heartbeat.limits, `host ${from}`);
     },
     handleRequest: stages.handleRequest,
   });
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -27,4 +27,5 @@
   type WorkspaceLimiter,
   type WorkspaceLimiterOptions,
 } from './lib/createWorkspaceLimiter.js';
+export { limitReportSchema, type LimitReport } from './lib/LimitReport.js';
 export type { QueueRequest } from './lib/QueueEntry.js';
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -1,3 +1,4 @@
+import type { ServerLimits } from '@endiveferry/admission';
 import {
   computeRendezvousOrder,
   type AvailabilityZoneId,
@@ -43,6 +44,7 @@
   /** Servers at which the request was already attempted. */
   readonly attemptedIds: ReadonlySet<BackendServerId>;
   readonly availabilityZone: AvailabilityZoneId;
+  readonly limits: Pick<ServerLimits, 'isLimited' | 'maySend' | 'needsRefresh'>;
   /** Returns a random number from 0 to 1. */
   readonly jitter: () => number;
 }
@@ -86,11 +88,14 @@
 ): Backend | undefined {
   let best: { readonly backend: Backend; readonly cost: number } | undefined;
   for (const backend of choice.candidates) {
+    const { serverId, isLeaving } = backend.server;
     const isUsable =
-      !backend.server.isLeaving &&
-      !choice.attemptedIds.has(backend.server.serverId) &&
-      backend.running() < backend.maxRunning();
+      !isLeaving &&
+      !choice.attemptedIds.has(serverId) &&
+      backend.running() < backend.maxRunning() &&
+      choice.limits.maySend(serverId);
     if (!isUsable) continue;
+    if (choice.limits.needsRefresh(serverId)) return backend;
     const cost = computeCost(backend);
     if (best === undefined || cost < best.cost) best = { backend, cost };
   }
@@ -123,7 +128,11 @@
   const promptTokens = countTokens(promptParts);
   const sharedParts = listSharedParts(promptParts);
   const sharedTokens = countTokens(sharedParts);
-  const preferredId = findPreferredEngine(promptParts, choice.candidates)?.server.serverId;
+  // Most requests for the shared parts of a limited engine have to go to another one.
+  const unlimited = choice.candidates.filter(
+    ({ server }) => !choice.limits.isLimited(server.serverId),
+  );
+  const preferredId = findPreferredEngine(promptParts, unlimited)?.server.serverId;
   return chooseLowestCost(choice, (backend) => {
     const { serverId, availabilityZone } = backend.server;
     const isPreferred = serverId === preferredId;
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -87,8 +87,8 @@
   readonly configurationTracker: ConfigurationTracker;
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
-  /** Builds the part of a heartbeat on dispatchers, on engines in use, and on suspect prompts. */
-  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending' | 'suspects'>;
+  /** Builds the part of a heartbeat on dispatchers, on prompts, and on backend servers. */
+  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending' | 'suspects' | 'limits'>;
   /** Returns the pools whose pieces are run through a dispatcher. */
   readonly listStagePools: () => readonly PoolId[];
   /** Called with the heartbeats of other hosts. */
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -31,6 +31,7 @@
   waits: [],
   pending: [],
   suspects: [],
+  limits: [],
 });
 
 function createHarness(links: HostId[] = [linked]) {
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -2,6 +2,7 @@
   createNotRunFailure,
   type BackendServerId,
   type Clock,
+  type Failure,
   type PoolId,
   type Random,
 } from '@endiveferry/base';
@@ -31,6 +32,9 @@
 /** Share of the fleet-wide retry budget that is used, because no host knows the fleet exactly. */
 const PLANNED_BUDGET_SHARE = 0.7;
 
+/** Retry delay when all servers of a pool have reached their limits, in milliseconds. */
+const LIMIT_RETRY_MS = 1_000;
+
 /** Serves callers' requests from arrival to response. @public */
 export interface RelayService {
   /** Serves one request. */
@@ -101,10 +105,32 @@
   }
 
   function choose(request: ForwardRequest, attemptedIds: ReadonlySet<BackendServerId>) {
+    const chosen = chooseBackend(request, attemptedIds);
+    if (chosen !== undefined) options.limits.recordSent(chosen.backend.server.serverId);
+    return chosen;
+  }
+
+  /** Rejects a request at once when all servers of its pool have reached the limits they named. */
+  function checkLimits({ poolId }: AdmittedRequest): Failure | undefined {
+    const usable = backends.listPool(poolId).filter(({ server }) => !server.isLeaving);
+    const isExhausted = usable.every(
+      ({ server: { serverId } }) =>
+        options.limits.isLimited(serverId) && !options.limits.maySend(serverId),
+    );
+    if (usable.length === 0 || !isExhausted) return undefined;
+    return createNotRunFailure(
+      'overloaded',
+      `all ${usable.length} servers of pool ${poolId} have named limits, which are reached`,
+      LIMIT_RETRY_MS,
+    );
+  }
+
+  function chooseBackend(request: ForwardRequest, attemptedIds: ReadonlySet<BackendServerId>) {
     const choice = {
       candidates: backends.listPool(request.poolId),
       attemptedIds,
       availabilityZone: environment.availabilityZone,
+      limits: options.limits,
       jitter: () => random.nextFraction(),
     };
     if (request.route.kind !== 'streaming') {
@@ -126,15 +152,20 @@
     return { backend, promptTokens };
   }
 
+  async function prepare(admitted: AdmittedRequest, connection: CallerConnection) {
+    if (!(await connection.confirm()))
+      return err(createNotRunFailure('cancelled', 'the caller disconnected'));
+    const failure = checkLimits(admitted);
+    return failure === undefined ? inputs.prepare(admitted, connection.signal) : err(failure);
+  }
+
   async function serveAdmitted(
     admitted: AdmittedRequest,
     responder: Responder,
     connection: CallerConnection,
   ): Promise<ForwardOutcome> {
     const { signal } = connection;
-    const prepared = (await connection.confirm())
-      ? await inputs.prepare(admitted, signal)
-      : err(createNotRunFailure('cancelled', 'the caller disconnected'));
+    const prepared = await prepare(admitted, connection);
     if (prepared.isErr()) {
       const sent = sendFailure(prepared.error, admitted.metadata.requestId, responder, options);
       return { ...sent, servers: [], firstEventAt: undefined, sentAt: undefined };
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -1,3 +1,4 @@
+import { limitReportSchema } from '@endiveferry/admission';
 import {
   availabilityZoneIdSchema,
   backendServerIdSchema,
@@ -52,6 +53,8 @@
   pending: z.array(z.object({ serverId: backendServerIdSchema, tokens: z.number() })).default([]),
   /** Prompt parts that may crash backend servers, and parts that others wrongly suspect. */
   suspects: z.array(suspectReportSchema).default([]),
+  /** Limits that backend servers have named, and those that ended recently. */
+  limits: z.array(limitReportSchema).default([]),
 });
 
 /** State that relay hosts send each other periodically. @public */
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -1,3 +1,4 @@
+import type { ServerLimits } from '@endiveferry/admission';
 import type { BackendServerId, Clock, Failure, PoolId } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 import type { Result } from 'neverthrow';
@@ -51,6 +52,9 @@
   readonly countWaiting: () => number;
 }
 
+/** Limits that replicas have named. @public */
+export type ReplicaLimits = Pick<ServerLimits, 'isLimited' | 'maySend' | 'recordSent'>;
+
 /**
  * Options of a dispatcher.
  *
@@ -67,6 +71,8 @@
     timeoutMs: number,
   ) => Promise<BatchOutcome>;
   readonly sendFree: (server: ListedServer, handles: readonly string[]) => void;
+  /** Limits that replicas have named; by default none has. */
+  readonly limits?: ReplicaLimits;
   /** Called with a server whose address has been taken over by another server. */
   readonly onServerReplaced: (serverId: BackendServerId) => void;
   /** Estimates the waiting time at another pool, in milliseconds, from this host's local state. */
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -13,10 +13,12 @@
   PieceResult,
   BatchOutcome,
 } from './PieceDispatcher.js';
+import { countPlanned, noLimits } from './replicaLimits.js';
 import { createScanScheduler } from './createScanScheduler.js';
 import { createWaitMemo } from './createWaitMemo.js';
 import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
 import { computeWaits, type RankWait } from './RankWait.js';
+import { listFailures } from './listFailures.js';
 import { rejectUnattainable } from './rejectUnattainable.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
@@ -30,12 +32,6 @@
  * inputs are lost and the stages of the request run again.
  */
 const INPUT_FETCH_MS = 120;
-/** Lists the failure reasons that an answered call reports for its pieces. */
-const listFailures = (callOutcome: BatchOutcome): readonly PieceFailure[] =>
-  callOutcome.kind === 'answered'
-    ? callOutcome.outcomes.flatMap((outcome) => (outcome.kind === 'failed' ? [outcome.reason] : []))
-    : [];
-
 /**
  * Creates the dispatcher of a pool. It distributes queued pieces to replicas whenever a group
  * arrives, a call ends, results are freed or the server list changes, and periodically while
@@ -46,7 +42,7 @@
  * @public
  */
 export function createPieceDispatcher(options: PieceDispatcherOptions): PieceDispatcher {
-  const { poolId, clock, logger } = options;
+  const { poolId, clock, logger, limits = noLimits } = options;
   const replicas = createReplicaStates(clock);
   const queue = createGroupQueue({
     poolId,
@@ -60,6 +56,8 @@
   function free(results: readonly PieceResult[]): void {
     const byServer = new Map<BackendServerId, string[]>();
     for (const { serverId, handle } of results) {
+      // Its calls are left to pieces; the result expires there.
+      if (limits.isLimited(serverId)) continue;
       replicas.find(serverId)?.removeResult(handle);
       byServer.set(serverId, [...(byServer.get(serverId) ?? []), handle]);
     }
@@ -89,13 +87,14 @@
   function findIdle(slots: number): ReplicaState[] {
     return replicas
       .listUsable()
-      .filter((state) => state.running() < slots)
+      .filter((state) => state.running() < slots && limits.maySend(state.server().serverId))
       .sort((a, b) => a.slowness() - b.slowness());
   }
 
   function listWaits(): RankWait[] {
     if (capacity === undefined) return [];
-    return computeWaits(queue.listGroups(), capacity, replicas.listUsable().length);
+    const count = countPlanned(replicas.listUsable(), limits);
+    return computeWaits(queue.listGroups(), capacity, count);
   }
 
   function requestScan(): void {
@@ -154,6 +153,7 @@
     );
     const startedAt = clock.now();
     replica.startCall(bytes);
+    limits.recordSent(replica.server().serverId);
     const cancelFetchTimer = clock.schedule(INPUT_FETCH_MS, () => queue.recordFetched(slots));
     const callOutcome = await options.sendPieces(
       replica.server(),
--- a/tools/run-soak.mjs
+++ b/tools/run-soak.mjs
@@ -15,6 +15,7 @@
   'apps/daemon/dist/lib/createControlState.test.js',
   'packages/relay/dist/lib/createConfigurationTracker.test.js',
   'packages/relay/dist/lib/crashReports.test.js',
+  'packages/relay/dist/lib/limitReports.test.js',
   'packages/relay/dist/lib/pieces/dispatcherInvariants.test.js',
 ];
 // fast-check prints the seed, the path and the shrunk counterexample of each failure.
