--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 
+import { createServerLimits } from '@endiveferry/admission';
 import {
   createRandom,
   createSupervisor,
@@ -22,7 +23,6 @@
   type HostEnvironment,
   type RelayService,
   type StoreReaderOptions,
-  type StoreListener,
   type WireProtocol,
 } from '@endiveferry/relay';
 import { createCrashTracker } from '@endiveferry/routing';
@@ -35,6 +35,8 @@
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
 import { createStageWaits } from './createStageWaits.js';
+import { createStoreListener } from './createStoreListener.js';
+import { registerRelayGauges } from './registerRelayGauges.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -93,11 +95,6 @@
     onCrash: (path, error) =>
       logger.error('task failed; restarting it', { path, error: describeError(error) }),
   });
-  metrics.registerGauge(
-    'endiveferry_blocked_parts',
-    'prompt parts that are not sent because backend servers crash under them',
-    () => [{ labels: {}, value: crashes.countBlocked() }],
-  );
   let isStopping = false;
   let isRejecting = false;
 
@@ -116,12 +113,21 @@
   const servers = createServerList(clock, logger, applyServers);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
+  const announceSoon = createAnnouncer(clock, () => fleet.announce());
+  const limits = createServerLimits({
+    clock,
+    logger,
+    hostId: hostIdSchema.parse(environment.ip),
+    listHosts: listLimitSenders,
+    onChange: announceSoon,
+  });
   const dispatchers = createDispatchers({
     clock,
     logger,
     metrics: relayMetrics,
     protocol,
     backends,
+    limits,
     onServerReplaced,
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
     estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
@@ -133,11 +139,7 @@
     listPools: dispatchers.listPools,
     findFleet,
   });
-  const crashes = createCrashTracker({
-    clock,
-    logger,
-    onChange: createAnnouncer(clock, () => fleet.announce()),
-  });
+  const crashes = createCrashTracker({ clock, logger, onChange: announceSoon });
   const stages = createStageClient({
     clock,
     logger,
@@ -158,6 +160,7 @@
     configurationTracker,
     backends,
     crashes,
+    limits,
     stages,
     countHosts,
     countOtherHostsTokens,
@@ -175,6 +178,7 @@
   });
   const isReady = () =>
     !isStopping && configurationTracker.current() !== undefined && servers.revision() > 0;
+  registerRelayGauges(metrics, { crashes, limits });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
 
@@ -182,9 +186,18 @@
     const pools = configurationTracker.current()?.configuration.pools;
     if (pools === undefined) return;
     backends.update(servers.list(), pools);
+    limits.update(new Set(servers.list().map(({ serverId }) => serverId)));
     dispatchers.update(pools, servers.list());
   }
 
+  /** Only its dispatcher sends calls to the replicas of a stage, any live host to others. */
+  function listLimitSenders(serverId: BackendServerId) {
+    const poolId = servers.find(serverId)?.poolId;
+    if (poolId === undefined) return [];
+    const hosts = fleet.listDispatchers(poolId);
+    return dispatchers.find(poolId) === undefined ? hosts : hosts.slice(0, 1);
+  }
+
   function countOtherHostsTokens(serverId: BackendServerId): number {
     const pending = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.pending);
     return pending.reduce(
@@ -193,22 +206,6 @@
     );
   }
 
-  const storeListener: StoreListener = {
-    onConfiguration: (document, requestedAt) =>
-      configurationTracker.apply(document, requestedAt, 'the store'),
-    onServerList: (list, revision) => servers.replace(list, revision, 'the store'),
-    onServerChanges: (changes, revision) => servers.apply(changes, revision),
-    onReachabilityChange(what, isReachable, detail) {
-      if (what === 'servers' && isReachable) servers.recordStoreRecovery();
-      logger.warn(isReachable ? 'the store is reachable again' : 'the store is unreachable', {
-        what,
-        detail,
-        version: configurationTracker.version(),
-        serversRevision: servers.revision(),
-      });
-    },
-  };
-
   /** Remote ends may have closed connections during the stall. */
   function replaceConnections(pausedMs: number): void {
     logger.warn('event loop stalled; replacing all connections', { pausedMs });
@@ -232,11 +229,13 @@
       waits: waits.listReported(),
       pending: backends.listPending(),
       suspects: crashes.listReports(),
+      limits: limits.listReports(),
     }),
     listStagePools: dispatchers.listPools,
     onHeartbeat(heartbeat, from) {
       for (const reported of heartbeat.waits) waits.record(reported);
       crashes.applyReports(heartbeat.suspects, `host ${from}`);
+      limits.applyReports(heartbeat.limits, `host ${from}`);
     },
     handleRequest: stages.handleRequest,
   });
@@ -247,7 +246,7 @@
     random,
     logger,
     supervisor: supervisor.createChild('store'),
-    listener: storeListener,
+    listener: createStoreListener({ logger, configurationTracker, servers }),
     confirmedAgeMs: configurationTracker.confirmedAgeMs,
   });
   const addresses = {
