Stop sending prompts under which engines crash, in the product's own interface

The own interface names no parts of a prompt, but computes the hashes of its beginnings for the choice of an engine. They take the place of parts in the same tracker, and heartbeats between daemons carry its reports. The test fails on the code before: 5 engines get a prompt under which each of them crashes, 3 now. A part in the middle of a prompt is only recognised together with what precedes it. The schema of the reports moved to base, as two kinds of heartbeats use it; createDaemon loses two functions to files of their own.

--- a/apps/daemon/src/lib/buildHeartbeat.ts
+++ b/apps/daemon/src/lib/buildHeartbeat.ts
@@ -3,6 +3,7 @@
 import type { Claims } from '@endiveferry/claims';
 import type { Heartbeat } from '@endiveferry/peers';
 import type { PoolSet } from '@endiveferry/pipeline';
+import type { CrashTracker } from '@endiveferry/routing';
 
 import type { ControlState } from './createControlState.js';
 import type { SuccessorTable } from './createSuccessorTable.js';
@@ -19,6 +20,7 @@
   readonly successors: SuccessorTable;
   readonly pools: PoolSet;
   readonly demand: HostDemand;
+  readonly crashes: Pick<CrashTracker, 'listReports'>;
 }
 
 /**
@@ -57,6 +59,7 @@
     hostListAsOf: control.hostListAsOfMs(),
     successors: sources.successors.list(claims.listTakenOverProcesses()),
     leavingServers: pools.listPools().flatMap(({ router }) => router.listReportedLeavingServers()),
+    suspects: sources.crashes.listReports(),
     demand: { pools: listedPools, workspaces: [...demand.workspaces] },
   };
 }
--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -12,7 +12,7 @@
   type BackendServerId,
   type HostId,
 } from '@endiveferry/base';
-import { createFleetDemand, createWorkspaceLimiter } from '@endiveferry/admission';
+import { createFleetDemand } from '@endiveferry/admission';
 import { createClaims } from '@endiveferry/claims';
 import {
   choosePeers,
@@ -23,13 +23,16 @@
   type PeerNetwork,
 } from '@endiveferry/peers';
 import { createPipelineRunner, createPoolSet } from '@endiveferry/pipeline';
+import { createCrashTracker } from '@endiveferry/routing';
 import { isLoopback } from '@endiveferry/settings';
 import { createLogger, createMetrics, createTraceStore } from '@endiveferry/telemetry';
 
 import { buildDemand, buildHeartbeat } from './buildHeartbeat.js';
+import { createAnnouncer } from './createAnnouncer.js';
 import { buildStatus } from './buildStatus.js';
 import { createCallersListener } from './createCallersListener.js';
 import { createControlState } from './createControlState.js';
+import { createFleetLimiter } from './createFleetLimiter.js';
 import { createLifecycle } from './createLifecycle.js';
 import { createOperatorsListener } from './createOperatorsListener.js';
 import { createPeerHandlers } from './createPeerHandlers.js';
@@ -40,6 +43,7 @@
 import { registerGauges } from './registerGauges.js';
 import { startConfigurationSource } from './startConfigurationSource.js';
 import { startPlacementReconciler } from './startPlacementReconciler.js';
+import { updateKeyOwners } from './updateKeyOwners.js';
 
 const DEFAULT_READINESS_GRACE_MS = 3_000;
 const READY_POLL_INTERVAL_MS = 20;
@@ -81,10 +85,16 @@
   const getLimits = () =>
     control.configuration()?.limits ?? { clockSkewMs: 0, viewValidityMs: 0, keyRetentionMs: 0 };
   const successors = createSuccessorTable(hostId, clock, () => getLimits().keyRetentionMs);
+  const crashes = createCrashTracker({
+    clock,
+    logger,
+    onChange: createAnnouncer(clock, () => network.sendHeartbeats()),
+  });
   const peers = createPeerHandlers({
     control,
     fleetDemand,
     successors,
+    crashes,
     getNetwork: () => network,
     getClaims: () => claims,
     onLeavingServersChange: applyLeavingServers,
@@ -96,14 +106,11 @@
     random,
     logger,
     fleetDemand,
+    crashes,
     hasDemandOfAllHosts: isFullyLinked,
     supervisor: supervisor.createChild('pools'),
   });
-  const limiter = createWorkspaceLimiter({
-    clock,
-    getLimits: (id) => control.configuration()?.workspaces[id]?.limits ?? {},
-    getHostShare: (id) => fleetDemand.computeHostShare(hostId, id) * computeReportingShare(),
-  });
+  const limiter = createFleetLimiter({ hostId, clock, control, fleetDemand });
   const claims = createClaims({
     hostId,
     processId,
@@ -140,35 +147,17 @@
     closeAll,
   });
 
-  /** Fraction of the fleet's hosts that report their demand to this host, from 0 to 1. */
-  function computeReportingShare(): number {
-    const hostCount = control.listHosts().size;
-    if (isFullyLinked(hostCount)) return 1;
-    return Math.min(1, fleetDemand.countHosts() / hostCount);
-  }
-
   function applyControlState(): void {
     const configuration = control.configuration();
     if (configuration === undefined) return;
     const hosts = control.listHosts();
-    updateKeyOwners();
+    updateKeyOwners(control, claims);
     pools.update(configuration, [...hosts.keys()]);
     network.setPeers(choosePeers(hostId, hosts));
     applyLeavingServers();
     network.sendHeartbeats();
   }
 
-  /** Owners of keys depend on the platform's host list alone, which is confirmed continuously. */
-  function updateKeyOwners(): void {
-    const list = control.hostList();
-    if (list === undefined) return;
-    const live = listEntries(list.hosts).filter(([, { state }]) => state === 'live');
-    claims.view.setHosts(
-      live.map(([id]) => id),
-      list.revision,
-    );
-  }
-
   function applyLeavingServers(): void {
     const listed = control.listLeavingServers();
     pools.setLeavingServers(new Set<BackendServerId>([...listed, ...peers.listLeavingServers()]));
@@ -178,7 +167,8 @@
     const demand = buildDemand(pools, limiter);
     fleetDemand.recordDemand(hostId, demand);
     const isDraining = lifecycle.state() !== 'ready';
-    return buildHeartbeat({ processId, isDraining, control, claims, successors, pools, demand });
+    const own = { processId, isDraining, demand };
+    return buildHeartbeat({ ...own, control, claims, successors, pools, crashes });
   }
 
   function findPeerAddress(id: HostId): string | undefined {
--- a/apps/daemon/src/lib/createPeerHandlers.ts
+++ b/apps/daemon/src/lib/createPeerHandlers.ts
@@ -8,6 +8,7 @@
   PeerRequestKind,
 } from '@endiveferry/peers';
 import { hostListSchema } from '@endiveferry/directory';
+import type { CrashTracker } from '@endiveferry/routing';
 import { z } from 'zod';
 
 import type { ControlState } from './createControlState.js';
@@ -41,6 +42,7 @@
   readonly control: ControlState;
   readonly fleetDemand: FleetDemand;
   readonly successors: SuccessorTable;
+  readonly crashes: Pick<CrashTracker, 'applyReports'>;
   readonly getNetwork: () => PeerNetwork<Heartbeat>;
   readonly getClaims: () => Claims;
   /** Called when the set of leaving backend servers may have changed. */
@@ -100,6 +102,7 @@
       heartbeats.set(hostId, heartbeat);
       fleetDemand.recordDemand(hostId, heartbeat.demand);
       options.successors.merge(heartbeat.successors);
+      options.crashes.applyReports(heartbeat.suspects, `host ${hostId}`);
       options.onLeavingServersChange();
       if (heartbeat.configurationRevision > control.seenRevision()) {
         void fetchUpdate(hostId, 'read-configuration', (body) => applyConfiguration(hostId, body));
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -28,7 +28,7 @@
 import { createCrashTracker } from '@endiveferry/routing';
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
-import { createAnnouncer } from './createAnnouncer.js';
+import { createAnnouncer } from '../createAnnouncer.js';
 import { createDispatchers } from './createDispatchers.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createMetricsListener } from './createMetricsListener.js';
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -59,3 +59,4 @@
   type Failure,
   type FailureReason,
 } from './lib/Verdict.js';
+export { suspectReportSchema, type SuspectReport } from './lib/SuspectReport.js';
--- a/packages/routing/src/lib/SuspectReport.ts
+++ b/packages/base/src/lib/SuspectReport.ts
@@ -1,6 +1,7 @@
-import { backendServerIdSchema } from '@endiveferry/base';
 import { z } from 'zod';
 
+import { backendServerIdSchema } from './ids.js';
+
 /** Schema of {@link SuspectReport}. @public */
 export const suspectReportSchema = z.object({
   partId: z.string(),
--- a/packages/peers/src/lib/createPeerNetwork.test.ts
+++ b/packages/peers/src/lib/createPeerNetwork.test.ts
@@ -26,6 +26,7 @@
   hostListAsOf: 0,
   successors: [],
   leavingServers: [],
+  suspects: [],
   demand: { pools: [], workspaces: [] },
 });
 
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -4,6 +4,7 @@
   poolIdSchema,
   processIdSchema,
   rankIdSchema,
+  suspectReportSchema,
   workspaceIdSchema,
 } from '@endiveferry/base';
 import { z } from 'zod';
@@ -85,6 +86,8 @@
   successors: z.array(successorSchema).default([]),
   /** Backend servers that this host itself has observed to be leaving. */
   leavingServers: z.array(backendServerIdSchema).default([]),
+  /** Prompt prefixes that may crash engines, and those that others wrongly suspect. */
+  suspects: z.array(suspectReportSchema).default([]),
   demand: z
     .object({
       pools: z
@@ -137,13 +140,14 @@
  * @internal
  */
 export function compactHeartbeat(heartbeat: Heartbeat): z.input<typeof heartbeatSchema> {
-  const { successors, leavingServers, demand, ...rest } = heartbeat;
+  const { successors, leavingServers, suspects, demand, ...rest } = heartbeat;
   const { pools, workspaces } = demand;
   const hasDemand = pools.length > 0 || workspaces.length > 0;
   return {
     ...rest,
     ...(successors.length > 0 ? { successors } : {}),
     ...(leavingServers.length > 0 ? { leavingServers } : {}),
+    ...(suspects.length > 0 ? { suspects } : {}),
     ...(hasDemand ? { demand } : {}),
   };
 }
--- a/packages/pipeline/src/lib/createPoolSet.ts
+++ b/packages/pipeline/src/lib/createPoolSet.ts
@@ -22,7 +22,7 @@
   type ServiceEstimator,
   type StageQueue,
 } from '@endiveferry/admission';
-import { createPoolRouter, type PoolRouter } from '@endiveferry/routing';
+import { createPoolRouter, type CrashTracker, type PoolRouter } from '@endiveferry/routing';
 import type { Configuration, Pool } from '@endiveferry/settings';
 import type { Logger } from '@endiveferry/telemetry';
 
@@ -51,6 +51,8 @@
   readonly queue: StageQueue;
   readonly estimator: ServiceEstimator;
   readonly retryBudget: RetryBudget;
+  /** Finds prompt prefixes that crash engines, for all pools. */
+  readonly crashes: CrashTracker;
   readonly settings: () => Pool;
   /** Returns the number of calls that this host may run concurrently now. */
   readonly getBudget: () => number;
@@ -86,6 +88,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly fleetDemand: FleetDemand;
+  readonly crashes: CrashTracker;
   /** Returns whether each host of a fleet of this size receives the demand of all others. */
   readonly hasDemandOfAllHosts: (hostCount: number) => boolean;
   readonly supervisor: Supervisor;
@@ -157,6 +160,7 @@
       queue,
       estimator: createServiceEstimator(clock),
       retryBudget: createRetryBudget(() => configuration?.limits.retryShare ?? 0),
+      crashes: options.crashes,
       settings: () => settings,
       getBudget,
       demand,
--- a/packages/pipeline/src/lib/createStageHarness.ts
+++ b/packages/pipeline/src/lib/createStageHarness.ts
@@ -16,7 +16,12 @@
   createServiceEstimator,
   createStageQueue,
 } from '@endiveferry/admission';
-import type { Call, CallResult, ServerLease } from '@endiveferry/routing';
+import {
+  createCrashTracker,
+  type Call,
+  type CallResult,
+  type ServerLease,
+} from '@endiveferry/routing';
 import type { Pool, PoolKind, Stage } from '@endiveferry/settings';
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
@@ -26,13 +31,15 @@
 
 const TOKENS = 6;
 const DEADLINE_MS = 2_000;
+/** Time from a call to the crash of the server, in milliseconds. */
+const CRASH_MS = 150;
 const tokenAt = (offset: number) => ` w${offset}`;
 /** Text of a complete stream. @internal */
 export const fullText = Array.from({ length: TOKENS }, (_value, index) => tokenAt(index)).join('');
 
 /**
  * How a backend server handles the next call. `cut` loses the connection, `late` responds after
- * 500 ms, `asks-first` checks `maySend` after an event loop stall that outlasts the deadline.
+ * 500 ms, `crash` loses it before a response, `asks-first` checks `maySend` after an event loop stall that outlasts the deadline.
  */
 type BackendBehaviour =
   | 'answer'
@@ -43,6 +50,7 @@
   | 'answer-to-another'
   | 'nonsense'
   | 'late'
+  | 'crash'
   | 'asks-first';
 
 /** Behaviours from which random scripts are generated. @internal */
@@ -142,6 +150,10 @@
     counts.sent += 1;
     if (behaviour === 'refuse') return status(429);
     counts.started += 1;
+    if (behaviour === 'crash') {
+      await new Promise<void>((resolve) => clock.schedule(CRASH_MS, resolve));
+      return connectionLost;
+    }
     if (behaviour === 'late') {
       await new Promise<void>((resolve) => {
         clock.schedule(500, resolve);
@@ -160,6 +172,7 @@
   readonly isIdempotent?: boolean;
   readonly script: readonly BackendBehaviour[];
   readonly retryShare?: number;
+  readonly prompt?: string;
 }
 
 /** Creates one stage of one request with a fake backend that follows a script. @internal */
@@ -169,6 +182,7 @@
   let leases = 0;
   let ended = 0;
   const ignore = () => undefined;
+  const logger = createLogger(hostIdSchema.parse('host-1'), 'error');
   const reserve = (): ServerLease => {
     leases += 1;
     const end = () => {
@@ -207,6 +221,7 @@
     router: { reserve } as unknown as PoolRuntime['router'],
     estimator: createServiceEstimator(clock),
     retryBudget,
+    crashes: createCrashTracker({ clock, logger, onChange: ignore }),
     settings: () => settings,
     getBudget: () => 4,
   };
@@ -242,13 +257,10 @@
     stageId: stageIdSchema.parse('stage'),
     stage,
     pool,
-    input: { prompt: 'plan' },
+    input: { prompt: options.prompt ?? 'plan' },
     latestStartAt: DEADLINE_MS,
   };
-  const telemetry = {
-    metrics: createMetrics(),
-    logger: createLogger(hostIdSchema.parse('host-1'), 'error'),
-  };
+  const telemetry = { metrics: createMetrics(), logger };
   return {
     counts: backend.counts,
     receivedTokens,
--- a/packages/pipeline/src/lib/runStage.test.ts
+++ b/packages/pipeline/src/lib/runStage.test.ts
@@ -81,3 +81,21 @@
   assert.equal(harness.counts.started, 2);
   assert.equal(harness.countOpenLeases(), 0);
 });
+
+test('a prompt under which engines crash is not sent to another one', async () => {
+  const harness = createStageHarness({
+    kind: 'model-engine',
+    script: ['crash', 'crash', 'crash', 'crash', 'crash'],
+    prompt: 'x'.repeat(300),
+  });
+  // Other requests are served all the time.
+  const serveOther = () => {
+    harness.pool.crashes.recordAnswer(['other']);
+    harness.pool.clock.schedule(50, serveOther);
+  };
+  serveOther();
+  const result = await harness.run();
+  assert.equal(harness.counts.sent, 3);
+  assert.equal(result.isErr() && result.error.reason, 'part-blocked');
+  assert.equal(result.isErr() && result.error.execution, 'may-have-run');
+});
--- a/packages/pipeline/src/lib/startAttempt.ts
+++ b/packages/pipeline/src/lib/startAttempt.ts
@@ -7,7 +7,7 @@
   type Failure,
 } from '@endiveferry/base';
 import type { Slot } from '@endiveferry/admission';
-import type { ServerLease } from '@endiveferry/routing';
+import { MIN_CRASH_RUN_MS, type ServerLease } from '@endiveferry/routing';
 import type { Logger, Metrics, WasteCause } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -75,13 +75,11 @@
   });
 }
 
-async function reserveServer({
-  run,
-  signal,
-  attemptedServers,
-}: StageState): Promise<ServerLease | undefined> {
+async function reserveServer(
+  { run, signal, attemptedServers }: StageState,
+  prefixes: readonly string[],
+): Promise<ServerLease | undefined> {
   const { pool, stage } = run;
-  const prefixes = stageHandlers[pool.settings().kind].computePrefixes(run.input);
   const model = stage.model === undefined ? {} : { model: stage.model };
   while (pool.clock.now() <= run.latestStartAt && !signal.aborted) {
     const lease = pool.router.reserve({ prefixes, excluded: attemptedServers, ...model });
@@ -120,6 +118,7 @@
   state: StageState,
   slot: Slot,
   lease: ServerLease,
+  prefixes: readonly string[],
 ): Promise<AttemptResult> {
   const { run, telemetry } = state;
   const { request, pool, stageId } = run;
@@ -128,13 +127,22 @@
   request.recordEvent('attempt-started', { ...labels, waitedMs: slot.waitedMs });
   const priority = slot.isWithinFloor ? HIGHEST_PRIORITY : request.rank.order;
   const usesNewConnection = state.started > 1;
+  const response = { hasBegun: false };
+  const recordFirstToken = (durationMs: number) => {
+    response.hasBegun = true;
+    pool.crashes.recordAnswer(prefixes);
+    lease.recordFirstToken(durationMs);
+  };
   const result = await runSafely(state, {
-    lease,
+    lease: { ...lease, recordFirstToken },
     signal: state.signal,
     priority,
     usesNewConnection,
   });
   const serviceMs = pool.clock.now() - startedAt;
+  const isBroken = result.kind === 'failed' && result.failure.reason === 'connection-lost';
+  if (isBroken && !response.hasBegun && serviceMs >= MIN_CRASH_RUN_MS)
+    pool.crashes.recordCrash(lease.serverId, prefixes);
   recordServerResult(lease, result, serviceMs);
   slot.release(serviceMs);
   const waste = getWasteCause(state, result);
@@ -175,9 +183,20 @@
  */
 export async function startAttempt(state: StageState): Promise<Result<Attempt, Failure>> {
   const { run } = state;
+  const prefixes = stageHandlers[run.pool.settings().kind].computePrefixes(run.input);
   const slot = await acquireSlot(state);
   if (slot.isErr()) return err(slot.error);
-  const lease = await reserveServer(state);
+  const blocked = run.pool.crashes.findBlockedPart(prefixes);
+  if (blocked !== undefined) {
+    slot.value.release(0);
+    return err(
+      createNotRunFailure(
+        'part-blocked',
+        `the beginning of the prompt crashes engines (${blocked.crashes} known crashes)`,
+      ),
+    );
+  }
+  const lease = await reserveServer(state, prefixes);
   if (lease === undefined) {
     slot.value.release(0);
     return err(
@@ -188,7 +207,7 @@
   state.attemptedServers.add(lease.serverId);
   const attempt: Attempt = {
     lease,
-    done: runLeasedAttempt(state, slot.value, lease).then((result) => {
+    done: runLeasedAttempt(state, slot.value, lease, prefixes).then((result) => {
       attempt.result = result;
       return attempt;
     }),
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -6,9 +6,9 @@
   poolIdSchema,
   processIdSchema,
   requestIdSchema,
+  suspectReportSchema,
 } from '@endiveferry/base';
 import type { HeartbeatCodec } from '@endiveferry/peers';
-import { suspectReportSchema } from '@endiveferry/routing';
 import { z } from 'zod';
 
 import { rankWaitSchema } from './pieces/RankWait.js';
--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -1,3 +1,5 @@
+import { MIN_CRASH_RUN_MS } from '@endiveferry/routing';
+
 import { getExecution, type AttemptOutcome } from './classifyAttempt.js';
 import type { Backend } from './createBackends.js';
 import type { BreakProgress } from './createRelayMetrics.js';
@@ -6,11 +8,6 @@
 
 /** Number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
-/**
- * Minimum time from the request to a break without a response that may be a crash, in milliseconds.
- * A server resets at once what it receives on an idle connection that it has dropped.
- */
-const MIN_RUN_MS = 20;
 
 /** Returns how far a stream got that its server broke off; undefined for any other outcome. */
 function findBreakProgress(
@@ -26,7 +23,7 @@
 /** Returns whether the server may have crashed as it began its response. */
 function isLikelyCrash({ attempt, options }: ForwardState, progress: BreakProgress): boolean {
   const sentAt = attempt.sentAt ?? Infinity;
-  const hasRun = progress === 'no-event' || options.clock.now() - sentAt >= MIN_RUN_MS;
+  const hasRun = progress === 'no-event' || options.clock.now() - sentAt >= MIN_CRASH_RUN_MS;
   return progress !== 'events' && hasRun;
 }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export { computePrefixes, createPrefixIndex, type PrefixIndex } from './lib/createPrefixIndex.js';
 export {
   createCrashTracker,
+  MIN_CRASH_RUN_MS,
   type BlockedPart,
   type CrashTracker,
   type CrashTrackerOptions,
@@ -19,7 +20,6 @@
 } from './lib/createServerConnections.js';
 export { createServerHealth, type ServerHealth } from './lib/createServerHealth.js';
 export { loadReportSchema, type LoadReport } from './lib/LoadReport.js';
-export { suspectReportSchema, type SuspectReport } from './lib/SuspectReport.js';
 export {
   sendCall,
   type Call,
--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -1,8 +1,13 @@
-import type { BackendServerId, Clock } from '@endiveferry/base';
+import type { BackendServerId, Clock, SuspectReport } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
-import type { SuspectReport } from './SuspectReport.js';
-
+/**
+ * Minimum time from a request to a break without a response that may be a crash, in milliseconds.
+ * A server resets at once what it receives on an idle connection that it has dropped.
+ *
+ * @public
+ */
+export const MIN_CRASH_RUN_MS = 20;
 /** Number of crashes, without an answer, after which a part is blocked. */
 const CRASHES_TO_BLOCK = 3;
 /** Time for which a crash counts, in milliseconds. */
