Report new evidence of crashes for five seconds only

In a storm of crashes for other reasons each crash leaves some parts as suspects for up to 60 s, and each heartbeat of each host carried all of them, 64 at most. Hosts keep what they have heard, so news has to travel once; blocks are still reported while they last, because hosts that start need them.

--- a/packages/routing/src/lib/createCrashTracker.test.ts
+++ b/packages/routing/src/lib/createCrashTracker.test.ts
@@ -174,15 +174,28 @@
   assert.deepEqual(tracker.listReports(), []);
 });
 
-test('a report names a bounded number of parts', async () => {
+test('a report names a bounded number of parts, without overlong ids', async () => {
   const { tracker, crash } = createHarness();
+  await crash(['x'.repeat(100)], 3);
+  assert.equal(tracker.countBlocked(), 0);
   for (let batch = 0; batch < 10; batch += 1) {
     await crash(
       Array.from({ length: 60 }, (_, index) => `part-${batch}-${index}`),
       1,
     );
   }
-  await crash(['x'.repeat(100)], 3);
   assert.equal(tracker.listReports().length, 64);
-  assert.equal(tracker.countBlocked(), 0);
+});
+
+test('evidence is reported for some seconds, a block while it lasts', async () => {
+  const { clock, tracker, crash } = createHarness();
+  await crash(['rare'], 1);
+  assert.equal(tracker.listReports().length, 1);
+  await clock.advance(5_000);
+  assert.deepEqual(tracker.listReports(), []);
+  tracker.recordCrash(server(1), ['rare']);
+  assert.equal(tracker.listReports()[0]?.crashes.length, 2);
+  await crash(['dead'], 3);
+  await clock.advance(30_000);
+  assert.equal(tracker.listReports()[0]?.partId, 'dead');
 });
--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -30,8 +30,11 @@
 const ACCEPTED_LIFETIME_SHARE = 0.9;
 /** Smallest difference between two answers that counts as news, in milliseconds. */
 const MIN_ANSWER_GAP_MS = 1_000;
-/** Time for which a host reports that a part reported as suspect is sound, in milliseconds. */
-const REPLY_MS = 5_000;
+/**
+ * Time for which a host reports new evidence, or that a part reported as suspect is sound, in
+ * milliseconds. Blocks are reported while they last, because hosts that start need them.
+ */
+const REPORT_MS = 5_000;
 /** Number of parts whose last answer is remembered. */
 const MAX_ANSWERS = 4_096;
 /** Number of parts in one report. */
@@ -84,6 +87,8 @@
 interface Suspect {
   crashes: Crash[];
   blockedAt: number | undefined;
+  /** Time at which this host learned of the latest crash. */
+  changedAt: number;
 }
 
 const listTracked = (partIds: readonly string[]) =>
@@ -154,7 +159,11 @@
   }
 
   function findOrAddSuspect(partId: string): Suspect {
-    const suspect = suspects.get(partId) ?? { crashes: [], blockedAt: undefined };
+    const suspect = suspects.get(partId) ?? {
+      crashes: [],
+      blockedAt: undefined,
+      changedAt: -Infinity,
+    };
     suspects.set(partId, suspect);
     return suspect;
   }
@@ -165,6 +174,7 @@
     const suspect = findOrAddSuspect(partId);
     if (suspect.crashes.some((known) => isSameCrash(known, crash))) return false;
     suspect.crashes.push(crash);
+    suspect.changedAt = clock.now();
     return true;
   }
 
@@ -226,7 +236,7 @@
     ];
     if (claims.some((at) => isProvenSound(partId, at))) {
       if (!replies.has(partId)) options.onChange();
-      replies.set(partId, now + REPLY_MS);
+      replies.set(partId, now + REPORT_MS);
     }
     if (suspects.get(partId)?.blockedAt !== undefined) return;
     addEvidence(partId, crashes);
@@ -235,16 +245,16 @@
     if (suspect.blockedAt === undefined) block(partId, suspect, blockedAt, source);
   }
 
+  const computeAgeMs = (at: number) => Math.round(clock.now() - at);
+
   function buildReport(partId: string): SuspectReport {
-    const now = clock.now();
-    const suspect = suspects.get(partId);
+    const { crashes = [], blockedAt } = suspects.get(partId) ?? {};
     const answeredAt = answers.get(partId);
-    const blockedAt = suspect?.blockedAt;
     return {
       partId,
-      crashes: (suspect?.crashes ?? []).map(({ serverId, at }) => [serverId, Math.round(now - at)]),
-      ...(answeredAt === undefined ? {} : { answeredAgeMs: Math.round(now - answeredAt) }),
-      ...(blockedAt === undefined ? {} : { blockedAgeMs: Math.round(now - blockedAt) }),
+      crashes: crashes.map(({ serverId, at }) => [serverId, computeAgeMs(at)]),
+      ...(answeredAt === undefined ? {} : { answeredAgeMs: computeAgeMs(answeredAt) }),
+      ...(blockedAt === undefined ? {} : { blockedAgeMs: computeAgeMs(blockedAt) }),
     };
   }
 
@@ -280,7 +290,9 @@
       removeExpired();
       // The newest evidence comes last in the map, blocked parts go first in the report.
       const blocked = [...suspects].filter(([, { blockedAt }]) => blockedAt !== undefined);
-      const others = [...suspects].filter(([, { blockedAt }]) => blockedAt === undefined).reverse();
+      const isNews = ({ blockedAt, changedAt }: Suspect) =>
+        blockedAt === undefined && clock.now() - changedAt <= REPORT_MS;
+      const others = [...suspects].filter(([, suspect]) => isNews(suspect)).reverse();
       const partIds = [...blocked, ...others].map(([partId]) => partId);
       return [...new Set([...partIds, ...replies.keys()])].slice(0, MAX_REPORTED).map(buildReport);
     },
