Count answers that other hosts report as signs that a pool serves

A host with little traffic of its own may have answered nothing for 10 s and would then not block a part on the evidence of others. Bounds on the parts of one request moved to a file of their own.

--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -1,6 +1,8 @@
 import type { BackendServerId, Clock, SuspectReport } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { listTrackedParts } from './listTrackedParts.js';
+
 /**
  * Minimum time from a request to a break without a response that may be a crash, in milliseconds.
  * A server resets at once what it receives on an idle connection that it has dropped.
@@ -39,10 +41,6 @@
 const MAX_ANSWERS = 4_096;
 /** Number of parts in one report. */
 const MAX_REPORTED = 64;
-/** Parts of one request that are tracked. */
-const MAX_PARTS = 64;
-/** Length of the ids that are tracked; longer ones would make reports large. */
-const MAX_ID_LENGTH = 64;
 
 /** A part that is not sent to backend servers. @public */
 export interface BlockedPart {
@@ -91,9 +89,6 @@
   changedAt: number;
 }
 
-const listTracked = (partIds: readonly string[]) =>
-  new Set(partIds.slice(0, MAX_PARTS).filter(({ length }) => length <= MAX_ID_LENGTH));
-
 /** Returns whether two observations are of one crash, or of crashes with one cause. */
 function isSameCrash(first: Crash, second: Crash): boolean {
   const gapMs = Math.abs(first.at - second.at);
@@ -121,6 +116,7 @@
     at <= (answers.get(partId) ?? -Infinity) + ANSWER_VALID_MS;
 
   function setAnswer(partId: string, at: number): void {
+    lastAnswerAt = Math.max(lastAnswerAt, at);
     answers.delete(partId);
     answers.set(partId, at);
     for (const oldest of answers.keys()) {
@@ -271,14 +267,14 @@
   return {
     recordAnswer(partIds) {
       lastAnswerAt = clock.now();
-      for (const partId of listTracked(partIds)) setAnswer(partId, lastAnswerAt);
+      for (const partId of listTrackedParts(partIds)) setAnswer(partId, lastAnswerAt);
     },
     recordCrash(serverId, partIds) {
       // A blocked part explains the crash.
       if (findBlockedPart(partIds) !== undefined) return;
       removeExpired();
       const crash = { serverId, at: clock.now() };
-      for (const partId of listTracked(partIds)) addEvidence(partId, [crash]);
+      for (const partId of listTrackedParts(partIds)) addEvidence(partId, [crash]);
     },
     findBlockedPart,
     countBlocked: () =>
