--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -152,6 +152,7 @@
     return { backend, promptTokens };
   }
 
+  /** Runs the stages of a request, unless it is known that it cannot be served. */
   async function prepare(admitted: AdmittedRequest, connection: CallerConnection) {
     if (!(await connection.confirm()))
       return err(createNotRunFailure('cancelled', 'the caller disconnected'));
--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -256,10 +256,10 @@
 
   function findBlockedPart(partIds: readonly string[]): BlockedPart | undefined {
     if (suspects.size === 0) return undefined;
-    removeExpired();
     for (const partId of partIds) {
-      const suspect = suspects.get(partId);
-      if (suspect?.blockedAt !== undefined) return { partId, crashes: suspect.crashes.length };
+      const { crashes = [], blockedAt } = suspects.get(partId) ?? {};
+      const isBlocked = blockedAt !== undefined && clock.now() - blockedAt <= BLOCK_MS;
+      if (isBlocked) return { partId, crashes: crashes.length };
     }
     return undefined;
   }
