--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -1,8 +1,15 @@
-import type { BackendServerId, Clock } from '@endiveferry/base';
+import type { BackendServerId, Clock, SuspectReport } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
-import type { SuspectReport } from './SuspectReport.js';
+import { listTrackedParts } from './listTrackedParts.js';
 
+/**
+ * Minimum time from a request to a break without a response that may be a crash, in milliseconds.
+ * A server resets at once what it receives on an idle connection that it has dropped.
+ *
+ * @public
+ */
+export const MIN_CRASH_RUN_MS = 20;
 /** Number of crashes, without an answer, after which a part is blocked. */
 const CRASHES_TO_BLOCK = 3;
 /** Time for which a crash counts, in milliseconds. */
@@ -25,16 +32,15 @@
 const ACCEPTED_LIFETIME_SHARE = 0.9;
 /** Smallest difference between two answers that counts as news, in milliseconds. */
 const MIN_ANSWER_GAP_MS = 1_000;
-/** Time for which a host reports that a part reported as suspect is sound, in milliseconds. */
-const REPLY_MS = 5_000;
+/**
+ * Time for which a host reports new evidence, or that a part reported as suspect is sound, in
+ * milliseconds. Blocks are reported while they last, because hosts that start need them.
+ */
+const REPORT_MS = 5_000;
 /** Number of parts whose last answer is remembered. */
 const MAX_ANSWERS = 4_096;
 /** Number of parts in one report. */
 const MAX_REPORTED = 64;
-/** Parts of one request that are tracked. */
-const MAX_PARTS = 64;
-/** Length of the ids that are tracked; longer ones would make reports large. */
-const MAX_ID_LENGTH = 64;
 
 /** A part that is not sent to backend servers. @public */
 export interface BlockedPart {
@@ -79,11 +85,10 @@
 interface Suspect {
   crashes: Crash[];
   blockedAt: number | undefined;
+  /** Time at which this host learned of the latest crash. */
+  changedAt: number;
 }
 
-const listTracked = (partIds: readonly string[]) =>
-  new Set(partIds.slice(0, MAX_PARTS).filter(({ length }) => length <= MAX_ID_LENGTH));
-
 /** Returns whether two observations are of one crash, or of crashes with one cause. */
 function isSameCrash(first: Crash, second: Crash): boolean {
   const gapMs = Math.abs(first.at - second.at);
@@ -111,6 +116,7 @@
     at <= (answers.get(partId) ?? -Infinity) + ANSWER_VALID_MS;
 
   function setAnswer(partId: string, at: number): void {
+    lastAnswerAt = Math.max(lastAnswerAt, at);
     answers.delete(partId);
     answers.set(partId, at);
     for (const oldest of answers.keys()) {
@@ -149,7 +155,11 @@
   }
 
   function findOrAddSuspect(partId: string): Suspect {
-    const suspect = suspects.get(partId) ?? { crashes: [], blockedAt: undefined };
+    const suspect = suspects.get(partId) ?? {
+      crashes: [],
+      blockedAt: undefined,
+      changedAt: -Infinity,
+    };
     suspects.set(partId, suspect);
     return suspect;
   }
@@ -160,6 +170,7 @@
     const suspect = findOrAddSuspect(partId);
     if (suspect.crashes.some((known) => isSameCrash(known, crash))) return false;
     suspect.crashes.push(crash);
+    suspect.changedAt = clock.now();
     return true;
   }
 
@@ -221,7 +232,7 @@
     ];
     if (claims.some((at) => isProvenSound(partId, at))) {
       if (!replies.has(partId)) options.onChange();
-      replies.set(partId, now + REPLY_MS);
+      replies.set(partId, now + REPORT_MS);
     }
     if (suspects.get(partId)?.blockedAt !== undefined) return;
     addEvidence(partId, crashes);
@@ -230,25 +241,25 @@
     if (suspect.blockedAt === undefined) block(partId, suspect, blockedAt, source);
   }
 
+  const computeAgeMs = (at: number) => Math.round(clock.now() - at);
+
   function buildReport(partId: string): SuspectReport {
-    const now = clock.now();
-    const suspect = suspects.get(partId);
+    const { crashes = [], blockedAt } = suspects.get(partId) ?? {};
     const answeredAt = answers.get(partId);
-    const blockedAt = suspect?.blockedAt;
     return {
       partId,
-      crashes: (suspect?.crashes ?? []).map(({ serverId, at }) => [serverId, Math.round(now - at)]),
-      ...(answeredAt === undefined ? {} : { answeredAgeMs: Math.round(now - answeredAt) }),
-      ...(blockedAt === undefined ? {} : { blockedAgeMs: Math.round(now - blockedAt) }),
+      crashes: crashes.map(({ serverId, at }) => [serverId, computeAgeMs(at)]),
+      ...(answeredAt === undefined ? {} : { answeredAgeMs: computeAgeMs(answeredAt) }),
+      ...(blockedAt === undefined ? {} : { blockedAgeMs: computeAgeMs(blockedAt) }),
     };
   }
 
   function findBlockedPart(partIds: readonly string[]): BlockedPart | undefined {
     if (suspects.size === 0) return undefined;
-    removeExpired();
     for (const partId of partIds) {
-      const suspect = suspects.get(partId);
-      if (suspect?.blockedAt !== undefined) return { partId, crashes: suspect.crashes.length };
+      const { crashes = [], blockedAt } = suspects.get(partId) ?? {};
+      const isBlocked = blockedAt !== undefined && clock.now() - blockedAt <= BLOCK_MS;
+      if (isBlocked) return { partId, crashes: crashes.length };
     }
     return undefined;
   }
@@ -256,14 +267,14 @@
   return {
     recordAnswer(partIds) {
       lastAnswerAt = clock.now();
-      for (const partId of listTracked(partIds)) setAnswer(partId, lastAnswerAt);
+      for (const partId of listTrackedParts(partIds)) setAnswer(partId, lastAnswerAt);
     },
     recordCrash(serverId, partIds) {
       // A blocked part explains the crash.
       if (findBlockedPart(partIds) !== undefined) return;
       removeExpired();
       const crash = { serverId, at: clock.now() };
-      for (const partId of listTracked(partIds)) addEvidence(partId, [crash]);
+      for (const partId of listTrackedParts(partIds)) addEvidence(partId, [crash]);
     },
     findBlockedPart,
     countBlocked: () =>
@@ -275,7 +286,9 @@
       removeExpired();
       // The newest evidence comes last in the map, blocked parts go first in the report.
       const blocked = [...suspects].filter(([, { blockedAt }]) => blockedAt !== undefined);
-      const others = [...suspects].filter(([, { blockedAt }]) => blockedAt === undefined).reverse();
+      const isNews = ({ blockedAt, changedAt }: Suspect) =>
+        blockedAt === undefined && clock.now() - changedAt <= REPORT_MS;
+      const others = [...suspects].filter(([, suspect]) => isNews(suspect)).reverse();
       const partIds = [...blocked, ...others].map(([partId]) => partId);
       return [...new Set([...partIds, ...replies.keys()])].slice(0, MAX_REPORTED).map(buildReport);
     },
