--- a/packages/admission/src/lib/createServerLimits.test.ts
+++ b/packages/admission/src/lib/createServerLimits.test.ts
@@ -66,7 +66,7 @@
     await clock.advance(100);
   }
   assert.ok(sent >= 16 && sent <= 23, String(sent));
-  assert.equal(all.filter(({ limits }) => limits.needsRefresh(server)).length, 0);
+  assert.equal(all.filter(({ limits }) => limits.isRefreshDue(server)).length, 0);
 });
 
 test('a fractional limit is kept', async () => {
@@ -97,12 +97,12 @@
 test('a server whose limit nobody has confirmed for some time gets the next request', async () => {
   const { clock, limits } = createHarness();
   limits.recordAnswer(server, 1);
-  assert.equal(limits.needsRefresh(server), false);
+  assert.equal(limits.isRefreshDue(server), false);
   limits.maySend(server);
   await clock.advance(2_500);
-  assert.ok(limits.needsRefresh(server));
+  assert.ok(limits.isRefreshDue(server));
   limits.recordSent(server);
-  assert.equal(limits.needsRefresh(server), false);
+  assert.equal(limits.isRefreshDue(server), false);
 });
 
 test('the newest report of a limit counts', async () => {
--- a/packages/admission/src/lib/createServerLimits.ts
+++ b/packages/admission/src/lib/createServerLimits.ts
@@ -50,7 +50,7 @@
   /** Records that this host sends the server a request. */
   recordSent(serverId: BackendServerId): void;
   /** Whether this host should send the next request to the server, to hear whether its limit ended. */
-  readonly needsRefresh: (serverId: BackendServerId) => boolean;
+  readonly isRefreshDue: (serverId: BackendServerId) => boolean;
   readonly countLimited: () => number;
   /** Forgets the servers that are not listed. */
   update(serverIds: ReadonlySet<BackendServerId>): void;
@@ -173,7 +173,7 @@
       limit.tokens -= 1;
       limit.lastSentAt = clock.now();
     },
-    needsRefresh(serverId) {
+    isRefreshDue(serverId) {
       const limit = limits.get(serverId);
       if (limit?.perSecond === undefined) return false;
       const lastAt = Math.max(limit.at, limit.lastSentAt);
--- a/packages/relay/src/lib/chooseBackend.ts
+++ b/packages/relay/src/lib/chooseBackend.ts
@@ -44,7 +44,7 @@
   /** Servers at which the request was already attempted. */
   readonly attemptedIds: ReadonlySet<BackendServerId>;
   readonly availabilityZone: AvailabilityZoneId;
-  readonly limits: Pick<ServerLimits, 'isLimited' | 'maySend' | 'needsRefresh'>;
+  readonly limits: Pick<ServerLimits, 'isLimited' | 'maySend' | 'isRefreshDue'>;
   /** Returns a random number from 0 to 1. */
   readonly jitter: () => number;
 }
@@ -95,7 +95,7 @@
       backend.running() < backend.maxRunning() &&
       choice.limits.maySend(serverId);
     if (!isUsable) continue;
-    if (choice.limits.needsRefresh(serverId)) return backend;
+    if (choice.limits.isRefreshDue(serverId)) return backend;
     const cost = computeCost(backend);
     if (best === undefined || cost < best.cost) best = { backend, cost };
   }
