Use one announcer in the daemons and in the simulated fleets

Cause: the simulation of fleets had its own copy of the pause between announcements, which waited 100 ms before each, while hosts wait only after the last one. The tests replayed another timing than the hosts have.

Change: createAnnouncer moves to the package of the links, where the simulation can use it; what hosts do is unchanged.

Conclusion: the simulated fleets now announce as the hosts do.

--- a/apps/daemon/src/lib/createDaemon.ts
+++ b/apps/daemon/src/lib/createDaemon.ts
@@ -16,6 +16,7 @@
 import { createClaims } from '@endiveferry/claims';
 import {
   choosePeers,
+  createAnnouncer,
   createPeerNetwork,
   heartbeatCodec,
   isFullyLinked,
@@ -28,7 +29,6 @@
 import { createLogger, createMetrics, createTraceStore } from '@endiveferry/telemetry';
 
 import { buildDemand, buildHeartbeat } from './buildHeartbeat.js';
-import { createAnnouncer } from './createAnnouncer.js';
 import { buildStatus } from './buildStatus.js';
 import { createCallersListener } from './createCallersListener.js';
 import { createControlState } from './createControlState.js';
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -10,6 +10,7 @@
   processIdSchema,
   type BackendServerId,
 } from '@endiveferry/base';
+import { createAnnouncer } from '@endiveferry/peers';
 import {
   createBackends,
   createConfigurationTracker,
@@ -28,7 +29,6 @@
 import { createCrashTracker } from '@endiveferry/routing';
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
-import { createAnnouncer } from '../createAnnouncer.js';
 import { createDispatchers } from './createDispatchers.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createMetricsListener } from './createMetricsListener.js';
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,4 +1,5 @@
 /** Connections between hosts: message framing, TLS, heartbeats and requests. */
+export { createAnnouncer } from './lib/createAnnouncer.js';
 export { choosePeers, isFullyLinked } from './lib/choosePeers.js';
 export {
   createPeerConnection,
--- a/apps/daemon/src/lib/createAnnouncer.ts
+++ b/packages/peers/src/lib/createAnnouncer.ts
@@ -9,7 +9,7 @@
  * @param clock - times the announcements
  * @param announce - sends the current state to other hosts
  * @returns the function to call after each change
- * @internal
+ * @public
  */
 export function createAnnouncer(clock: Clock, announce: () => void): () => void {
   let lastAt = -Infinity;
--- a/packages/relay/src/lib/createFleetSimulation.ts
+++ b/packages/relay/src/lib/createFleetSimulation.ts
@@ -5,7 +5,7 @@
   type HostId,
   type Random,
 } from '@endiveferry/base';
-import { choosePeers, isFullyLinked } from '@endiveferry/peers';
+import { choosePeers, createAnnouncer, isFullyLinked } from '@endiveferry/peers';
 
 const HEARTBEAT_INTERVAL_MS = 400;
 const LARGE_HEARTBEAT_INTERVAL_MS = 1_000;
@@ -13,7 +13,6 @@
 const CONTACT_MS = 3_000;
 /** The same in fleets that are not fully linked. */
 const LARGE_CONTACT_MS = 4_000;
-const ANNOUNCE_DELAY_MS = 100;
 const MIN_DELAY_MS = 3;
 const MAX_EXTRA_DELAY_MS = 40;
 
@@ -80,15 +79,10 @@
   }
 
   function startHost(id: HostId): void {
-    let isAnnouncing = false;
-    const state = options.createState(id, () => {
-      if (isAnnouncing) return;
-      isAnnouncing = true;
-      clock.schedule(ANNOUNCE_DELAY_MS, () => {
-        isAnnouncing = false;
-        for (const peer of peers.get(id) ?? []) exchange(id, peer);
-      });
+    const announce = createAnnouncer(clock, () => {
+      for (const peer of peers.get(id) ?? []) exchange(id, peer);
     });
+    const state = options.createState(id, announce);
     hosts.set(id, { id, state, startedAt: clock.now() });
   }
 
