Drop a redundant check of limits and mend two layouts

Cause: checkLimits asked whether a server has a limit and whether it may be sent a request. A server without a limit always may, so the second question alone decides.

Change: one question per server; a comment of the stage harness is wrapped, two blank lines set. No decision changes.

Before and after: the tests of limits pass unchanged. Conclusion: simpler, same behaviour.

--- a/packages/pipeline/src/lib/createStageHarness.ts
+++ b/packages/pipeline/src/lib/createStageHarness.ts
@@ -39,7 +39,8 @@
 
 /**
  * How a backend server handles the next call. `cut` loses the connection, `late` responds after
- * 500 ms, `crash` loses it before a response, `asks-first` checks `maySend` after an event loop stall that outlasts the deadline.
+ * 500 ms, `crash` loses the connection before a response, `asks-first` checks `maySend` after an
+ * event loop stall that outlasts the deadline.
  */
 type BackendBehaviour =
   | 'answer'
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -31,7 +31,6 @@
 
 /** Share of the fleet-wide retry budget that is used, because no host knows the fleet exactly. */
 const PLANNED_BUDGET_SHARE = 0.7;
-
 /** Retry delay when all servers of a pool have reached their limits, in milliseconds. */
 const LIMIT_RETRY_MS = 1_000;
 
@@ -113,10 +112,7 @@
   /** Rejects a request at once when all servers of its pool have reached the limits they named. */
   function checkLimits({ poolId }: AdmittedRequest): Failure | undefined {
     const usable = backends.listPool(poolId).filter(({ server }) => !server.isLeaving);
-    const isExhausted = usable.every(
-      ({ server: { serverId } }) =>
-        options.limits.isLimited(serverId) && !options.limits.maySend(serverId),
-    );
+    const isExhausted = usable.every(({ server }) => !options.limits.maySend(server.serverId));
     if (usable.length === 0 || !isExhausted) return undefined;
     return createNotRunFailure(
       'overloaded',
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -32,6 +32,7 @@
  * inputs are lost and the stages of the request run again.
  */
 const INPUT_FETCH_MS = 120;
+
 /**
  * Creates the dispatcher of a pool. It distributes queued pieces to replicas whenever a group
  * arrives, a call ends, results are freed or the server list changes, and periodically while
