Put newer configurations into force after the store returned from a copy

Cause: the reader compared revisions of the store, which are given out again after the return. The version in force came back under a lower revision and confirmed nothing; the next version came under the revision of the one in force, was taken for it, and confirmed it.

Documents are now compared by their own version, which is not lost with the store.

Found on the way: a signal of AbortSignal.timeout inside AbortSignal.any may be collected as garbage and never abort.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -19,6 +19,7 @@
   createRelayService,
   createServerList,
   createStageClient,
+  createStoreEpochs,
   createDualClock,
   type Fleet,
   type HostEnvironment,
@@ -37,6 +38,7 @@
 import { createStageWaits } from './createStageWaits.js';
 import { createStoreListener } from './createStoreListener.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
+import { sumPendingTokens } from './sumPendingTokens.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -110,6 +112,7 @@
       fleet.announce();
     },
   });
+  const epochs = createStoreEpochs(clock, logger);
   const servers = createServerList(clock, logger, applyServers);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
@@ -163,7 +166,7 @@
     limits,
     stages,
     countHosts,
-    countOtherHostsTokens,
+    countOtherHostsTokens: (serverId) => sumPendingTokens(fleet.listHeartbeats(), serverId),
     estimateWaitMs: waits.estimateMs,
     isRejecting: () => isRejecting,
     onServerReplaced,
@@ -178,7 +181,7 @@
   });
   const isReady = () =>
     !isStopping && configurationTracker.current() !== undefined && servers.revision() > 0;
-  registerRelayGauges(metrics, { crashes, limits });
+  registerRelayGauges(metrics, { crashes, limits, configurationTracker, epochs });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
 
@@ -198,14 +201,6 @@
     return dispatchers.find(poolId) === undefined ? hosts : hosts.slice(0, 1);
   }
 
-  function countOtherHostsTokens(serverId: BackendServerId): number {
-    const pending = fleet.listHeartbeats().flatMap((heartbeat) => heartbeat.pending);
-    return pending.reduce(
-      (sum, entry) => sum + (entry.serverId === serverId ? entry.tokens : 0),
-      0,
-    );
-  }
-
   /** Remote ends may have closed connections during the stall. */
   function replaceConnections(pausedMs: number): void {
     logger.warn('event loop stalled; replacing all connections', { pausedMs });
@@ -246,7 +241,7 @@
     random,
     logger,
     supervisor: supervisor.createChild('store'),
-    listener: createStoreListener({ logger, configurationTracker, servers }),
+    listener: createStoreListener({ logger, configurationTracker, servers, epochs, dualClock }),
     confirmedAgeMs: configurationTracker.confirmedAgeMs,
   });
   const addresses = {
--- a/apps/daemon/src/lib/relay/createStoreListener.ts
+++ b/apps/daemon/src/lib/relay/createStoreListener.ts
@@ -1,4 +1,11 @@
-import type { ConfigurationTracker, ServerList, StoreListener } from '@endiveferry/relay';
+import type {
+  ConfigurationEntry,
+  ConfigurationTracker,
+  DualClock,
+  ServerList,
+  StoreEpochs,
+  StoreListener,
+} from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
 /** Options of {@link createStoreListener}. @internal */
@@ -6,6 +13,8 @@
   readonly logger: Logger;
   readonly configurationTracker: ConfigurationTracker;
   readonly servers: ServerList;
+  readonly epochs: StoreEpochs;
+  readonly dualClock: DualClock;
 }
 
 /**
@@ -16,10 +25,32 @@
  * @internal
  */
 export function createStoreListener(options: StoreListenerOptions): StoreListener {
-  const { logger, configurationTracker, servers } = options;
+  const { logger, configurationTracker, servers, epochs, dualClock } = options;
+  let logged = '';
+
+  /** Logs what the store shows and whether it confirms it, once until either changes. */
+  function logEntry({ version, position }: ConfigurationEntry, isConfirmed: boolean): void {
+    const entry = `${position.epoch} ${position.revision} ${isConfirmed}`;
+    if (entry === logged) return;
+    logged = entry;
+    logger.info('read the configuration from the store', {
+      version,
+      ...position,
+      isConfirmed,
+      versionInForce: configurationTracker.version(),
+    });
+  }
+
   return {
-    onConfiguration: (document, requestedAt) =>
-      configurationTracker.apply(document, requestedAt, 'the store'),
+    onResponse: (epoch, revision) => epochs.recordResponse(epoch, revision),
+    onConfiguration(document, position, requestedAt) {
+      const { version } = document.configuration;
+      const entry = { version, position, requestedAt };
+      const isConfirmed = epochs.confirm(entry);
+      logEntry(entry, isConfirmed);
+      const confirmedAt = isConfirmed ? requestedAt : dualClock.subtract(requestedAt, Infinity);
+      configurationTracker.apply(document, confirmedAt, 'the store');
+    },
     onServerList: (list, revision) => servers.replace(list, revision, 'the store'),
     onServerChanges: (changes, revision) => servers.apply(changes, revision),
     onReachabilityChange(what, isReachable, detail) {
--- a/apps/daemon/src/lib/relay/registerRelayGauges.ts
+++ b/apps/daemon/src/lib/relay/registerRelayGauges.ts
@@ -1,4 +1,5 @@
 import type { ServerLimits } from '@endiveferry/admission';
+import type { ConfigurationTracker, StoreEpochs } from '@endiveferry/relay';
 import type { CrashTracker } from '@endiveferry/routing';
 import type { Metrics } from '@endiveferry/telemetry';
 
@@ -6,6 +7,8 @@
 export interface RelayGaugeSources {
   readonly crashes: Pick<CrashTracker, 'countBlocked'>;
   readonly limits: Pick<ServerLimits, 'countLimited'>;
+  readonly configurationTracker: Pick<ConfigurationTracker, 'version' | 'confirmedAgeMs'>;
+  readonly epochs: Pick<StoreEpochs, 'current'>;
 }
 
 /**
@@ -17,7 +20,7 @@
  */
 export function registerRelayGauges(
   metrics: Pick<Metrics, 'registerGauge'>,
-  { crashes, limits }: RelayGaugeSources,
+  { crashes, limits, configurationTracker, epochs }: RelayGaugeSources,
 ): void {
   metrics.registerGauge(
     'endiveferry_blocked_parts',
@@ -29,4 +32,17 @@
     'backend servers that have named a limit of requests a second',
     () => [{ labels: {}, value: limits.countLimited() }],
   );
+  metrics.registerGauge(
+    'endiveferry_store_epoch',
+    'latest epoch of the store; it rises when the store returns from a copy',
+    () => [{ labels: {}, value: epochs.current() }],
+  );
+  metrics.registerGauge('endiveferry_configuration_version', 'version in force', () => [
+    { labels: {}, value: configurationTracker.version() },
+  ]);
+  metrics.registerGauge(
+    'endiveferry_configuration_confirmed_age_seconds',
+    'time since the version in force was last confirmed; infinite without a confirmation',
+    () => [{ labels: {}, value: configurationTracker.confirmedAgeMs() / 1_000 }],
+  );
 }
--- a/packages/relay/src/lib/createConfigurationTracker.ts
+++ b/packages/relay/src/lib/createConfigurationTracker.ts
@@ -105,8 +105,8 @@
       const next = document.configuration.version;
       if (next > version()) {
         const previous = version();
+        // The last confirmation stays valid: versions newer than this one were published after it.
         active = buildActiveConfiguration(document);
-        confirmedAt = undefined;
         logger.info('configuration is in force', {
           version: next,
           previous,
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -17,6 +17,7 @@
 
 import type { ListedServer, PublishedDocument } from './RelayConfiguration.js';
 import type { DualTimestamp, DualClock } from './createDualClock.js';
+import type { StorePosition } from './StorePosition.js';
 
 /** One part of a prompt; requests that share a part use the same id for it. @public */
 export interface PromptPart {
@@ -155,8 +156,14 @@
 
 /** Receives the data that this host reads from the store. @public */
 export interface StoreListener {
-  /** Called with the newest configuration, which was in force at `requestedAt`. */
-  onConfiguration(document: PublishedDocument, requestedAt: DualTimestamp): void;
+  /** Called with the epoch of each response, and the store's revision if the response has it. */
+  onResponse(epoch: number, revision: number | undefined): void;
+  /** Called with the configuration that the store shows, and where its entry was written. */
+  onConfiguration(
+    document: PublishedDocument,
+    position: StorePosition,
+    requestedAt: DualTimestamp,
+  ): void;
   /** Called with the full list of backend servers. */
   onServerList(servers: readonly ListedServer[], revision: number): void;
   /** Called with incremental changes of the list: entries written and ids removed. */
