Compare lists of backend servers by the store's epoch, then by revision

After the store returned from a copy, a host ignored the full list that it read, because its revision was below that of the list before: a server that registered before this read got no requests. Lists of other hosts were compared the same way. An older copy that was taken over would have listed servers again that had left, and ended the leaving of others.

Lists now have an epoch and a revision, also in heartbeats and replies.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -180,7 +180,7 @@
     isStopping: () => isStopping,
   });
   const isReady = () =>
-    !isStopping && configurationTracker.current() !== undefined && servers.revision() > 0;
+    !isStopping && configurationTracker.current() !== undefined && servers.position().revision > 0;
   registerRelayGauges(metrics, { crashes, limits, configurationTracker, epochs });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
--- a/apps/daemon/src/lib/relay/createStoreListener.ts
+++ b/apps/daemon/src/lib/relay/createStoreListener.ts
@@ -51,15 +51,16 @@
       const confirmedAt = isConfirmed ? requestedAt : dualClock.subtract(requestedAt, Infinity);
       configurationTracker.apply(document, confirmedAt, 'the store');
     },
-    onServerList: (list, revision) => servers.replace(list, revision, 'the store'),
-    onServerChanges: (changes, revision) => servers.apply(changes, revision),
+    onServerList: (list, position) => servers.replace(list, position, 'the store'),
+    onServerChanges: (changes, position) => servers.apply(changes, position),
     onReachabilityChange(what, isReachable, detail) {
       if (what === 'servers' && isReachable) servers.recordStoreRecovery();
       logger.warn(isReachable ? 'the store is reachable again' : 'the store is unreachable', {
         what,
         detail,
         version: configurationTracker.version(),
-        serversRevision: servers.revision(),
+        serversEpoch: servers.position().epoch,
+        serversRevision: servers.position().revision,
       });
     },
   };
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -31,6 +31,7 @@
   type RelayHeartbeat,
 } from './messages.js';
 import type { HostEnvironment, WireProtocol } from './ports.js';
+import { isAfter } from './StorePosition.js';
 
 /** Time without data after which a connection with pending requests is closed, in milliseconds. */
 const KEEPALIVE_TIMEOUT_MS = 900;
@@ -134,7 +135,8 @@
       weight,
       version: configurationTracker.version(),
       ...(Number.isFinite(confirmedAgeMs) ? { confirmedAgeMs } : {}),
-      serversRevision: servers.revision(),
+      serversEpoch: servers.position().epoch,
+      serversRevision: servers.position().revision,
       hosts: members.listReported(),
       ...options.buildLoad(),
     };
@@ -190,7 +192,8 @@
       );
     }
     if (heartbeat.version > configurationTracker.version()) void readConfiguration(id);
-    if (heartbeat.serversRevision > servers.revision()) void readServers(id);
+    const position = { epoch: heartbeat.serversEpoch, revision: heartbeat.serversRevision };
+    if (isAfter(position, servers.position())) void readServers(id);
   }
 
   /** Creates a function that reads a newer document from another host, one read at a time. */
@@ -236,10 +239,8 @@
   );
 
   const readServers = createReader('read-servers', 'the list of backend servers', (body, from) => {
-    const reply = serverListReplySchema.parse(body);
-    if (reply.revision > servers.revision()) {
-      servers.replace(reply.servers, reply.revision, `host ${from}`);
-    }
+    const { servers: listed, ...position } = serverListReplySchema.parse(body);
+    if (isAfter(position, servers.position())) servers.replace(listed, position, `host ${from}`);
   });
 
   const requestHandlers: Partial<Record<string, () => Promise<unknown>>> = {
@@ -253,8 +254,7 @@
         ...(Number.isFinite(confirmedAgeMs) ? { confirmedAgeMs } : {}),
       });
     },
-    'read-servers': () =>
-      Promise.resolve({ revision: servers.revision(), servers: servers.list() }),
+    'read-servers': () => Promise.resolve({ ...servers.position(), servers: servers.list() }),
   };
 
   const network = await createPeerNetwork<RelayHeartbeat>({
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -26,6 +26,7 @@
   isStopping,
   weight: 1,
   version: 1,
+  serversEpoch: 1,
   serversRevision: 1,
   hosts,
   waits: [],
--- a/packages/relay/src/lib/createServerList.ts
+++ b/packages/relay/src/lib/createServerList.ts
@@ -3,6 +3,7 @@
 
 import type { ServerChange } from './ports.js';
 import type { ListedServer } from './RelayConfiguration.js';
+import { isAfter, NO_POSITION, type StorePosition } from './StorePosition.js';
 
 /** Running servers register again within about this time after a store outage, in milliseconds. */
 const REREGISTRATION_WINDOW_MS = 2_000;
@@ -11,6 +12,18 @@
  * milliseconds.
  */
 const REMOVAL_DELAY_MS = 1_500;
+/**
+ * The same for servers that an older copy of the store lacks, in milliseconds: they register again
+ * only after they have noticed.
+ */
+const MISSING_DELAY_MS = 2_500;
+/**
+ * Time after which a copy of the store no longer lists servers that have left, in milliseconds:
+ * without heartbeats their entries expire.
+ */
+const COPY_EXPIRY_MS = 4_500;
+/** Time for which a server that has left is remembered, in milliseconds; longer than copies are old. */
+const REMOVED_MEMORY_MS = 60_000;
 
 /**
  * List of the registered backend servers, as the store publishes it.
@@ -21,11 +34,16 @@
   /** Returns all servers, including those that are leaving. */
   readonly list: () => readonly ListedServer[];
   find(serverId: BackendServerId): ListedServer | undefined;
-  /** Returns the store's revision of the list; 0 before the first one. */
-  readonly revision: () => number;
-  /** Replaces the list with a complete one; ignores a revision older than the current one. */
-  replace(servers: readonly ListedServer[], revision: number, source: string): void;
-  apply(changes: readonly ServerChange[], revision: number): void;
+  /** Returns where in the store's history the list was read. */
+  readonly position: () => StorePosition;
+  /**
+   * Replaces the list with a complete one; ignores one from before the current position. The first
+   * list of a new epoch is an older copy: it neither ends a server's leaving, nor does it list a
+   * server again that has left, until the server itself writes its entry.
+   */
+  replace(servers: readonly ListedServer[], position: StorePosition, source: string): void;
+  /** Applies changes that were written at the store; ignores those of an earlier epoch. */
+  apply(changes: readonly ServerChange[], position: StorePosition): void;
   /** Records that the store is reachable again after an outage. */
   recordStoreRecovery(): void;
   /** Removes a server whose address another server has taken over. */
@@ -46,11 +64,20 @@
 export function createServerList(clock: Clock, logger: Logger, onChange: () => void): ServerList {
   const servers = new Map<BackendServerId, ListedServer>();
   const removalRequestedAt = new Map<BackendServerId, number>();
-  let revision = 0;
+  /** When servers left the list; the earliest first. */
+  const removedAt = new Map<BackendServerId, number>();
+  /** Servers that a copy lists although they had left. */
+  const doubted = new Map<BackendServerId, ListedServer>();
+  let position = NO_POSITION;
   let storeRecoveredAt = -Infinity;
+  let copyReadAt = -Infinity;
+
+  const isFromCopy = () => clock.now() - copyReadAt < COPY_EXPIRY_MS;
 
   function setServer(server: ListedServer): void {
     removalRequestedAt.delete(server.serverId);
+    doubted.delete(server.serverId);
+    removedAt.delete(server.serverId);
     const known = servers.get(server.serverId);
     servers.set(server.serverId, server);
     if (known?.isLeaving !== server.isLeaving) {
@@ -59,7 +86,7 @@
         pool: server.poolId,
         address: server.address,
         isLeaving: server.isLeaving,
-        revision,
+        ...position,
       });
     }
   }
@@ -67,18 +94,51 @@
   function removeServer(serverId: BackendServerId, reason: string): void {
     removalRequestedAt.delete(serverId);
     if (!servers.delete(serverId)) return;
-    logger.info('backend server removed', { backendServer: serverId, reason, revision });
+    recordRemoved(serverId);
+    logger.info('backend server removed', { backendServer: serverId, reason, ...position });
   }
 
-  function scheduleRemoval(serverId: BackendServerId): void {
+  function recordRemoved(serverId: BackendServerId): void {
+    removedAt.delete(serverId);
+    removedAt.set(serverId, clock.now());
+    for (const [id, at] of removedAt) {
+      if (clock.now() - at <= REMOVED_MEMORY_MS) break;
+      removedAt.delete(id);
+    }
+  }
+
+  /** Lists a server as a copy of the store shows it, unless newer information is known. */
+  function setCopiedServer(server: ListedServer): void {
+    const { serverId } = server;
+    const known = servers.get(serverId);
+    if (known?.isLeaving === true) removalRequestedAt.delete(serverId);
+    else if (known === undefined && removedAt.has(serverId)) doubted.set(serverId, server);
+    else setServer(server);
+  }
+
+  function scheduleDoubtedServers(): void {
+    if (doubted.size === 0) return;
+    logger.info('servers that have left are listed by an older copy of the store', {
+      backendServers: [...doubted.keys()],
+    });
+    clock.schedule(copyReadAt + COPY_EXPIRY_MS - clock.now(), () => {
+      if (doubted.size === 0 || isFromCopy()) return;
+      for (const server of [...doubted.values()]) setServer(server);
+      onChange();
+    });
+  }
+
+  function scheduleRemoval(serverId: BackendServerId, delayMs = REMOVAL_DELAY_MS): void {
+    doubted.delete(serverId);
     if (!servers.has(serverId) || removalRequestedAt.has(serverId)) return;
-    if (clock.now() - storeRecoveredAt > REREGISTRATION_WINDOW_MS) {
+    const recoveredAt = Math.max(storeRecoveredAt, copyReadAt);
+    if (clock.now() - recoveredAt > REREGISTRATION_WINDOW_MS) {
       removeServer(serverId, 'its entry was removed');
       return;
     }
     const since = clock.now();
     removalRequestedAt.set(serverId, since);
-    clock.schedule(REMOVAL_DELAY_MS, () => {
+    clock.schedule(delayMs, () => {
       if (removalRequestedAt.get(serverId) !== since) return;
       removeServer(serverId, 'its entry was not restored after an outage of the store');
       onChange();
@@ -95,22 +155,32 @@
   return {
     list: () => [...servers.values()],
     find: (serverId) => servers.get(serverId),
-    revision: () => revision,
-    replace(listed, nextRevision, source) {
-      if (nextRevision < revision) return;
-      revision = nextRevision;
+    position: () => position,
+    replace(listed, nextPosition, source) {
+      if (isAfter(position, nextPosition)) return;
+      if (position.epoch > 0 && nextPosition.epoch > position.epoch) {
+        copyReadAt = clock.now();
+        doubted.clear();
+      }
+      position = nextPosition;
       const ids = new Set(listed.map(({ serverId }) => serverId));
-      for (const serverId of [...servers.keys()]) if (!ids.has(serverId)) scheduleRemoval(serverId);
-      for (const server of listed) setServer(server);
+      for (const serverId of [...servers.keys()])
+        if (!ids.has(serverId)) scheduleRemoval(serverId, MISSING_DELAY_MS);
+      for (const server of listed) {
+        if (isFromCopy()) setCopiedServer(server);
+        else setServer(server);
+      }
+      scheduleDoubtedServers();
       logger.info('read the list of backend servers', {
-        revision,
+        ...position,
         count: listed.length,
         source,
       });
       onChange();
     },
-    apply(changes, nextRevision) {
-      revision = Math.max(revision, nextRevision);
+    apply(changes, nextPosition) {
+      if (nextPosition.epoch < position.epoch) return;
+      if (isAfter(nextPosition, position)) position = nextPosition;
       for (const change of changes) {
         const handle = handlers[change.kind] as (change: ServerChange) => void;
         handle(change);
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -43,7 +43,9 @@
   version: z.int(),
   /** Time since that version was last confirmed, in milliseconds; absent without a confirmation. */
   confirmedAgeMs: z.number().optional(),
-  /** Revision of the list of backend servers; 0 when none is known. */
+  /** Epoch of the store in which the list of backend servers was read; 0 when none is known. */
+  serversEpoch: z.int().default(0),
+  /** Revision of that list in its epoch. */
   serversRevision: z.int(),
   /** Other hosts with a recent heartbeat, received directly or reported by others. */
   hosts: z.array(reportedHostSchema).default([]),
@@ -153,6 +155,7 @@
 
 /** Schema of the response to a `read-servers` request. @internal */
 export const serverListReplySchema = z.object({
+  epoch: z.int().default(0),
   revision: z.int(),
   servers: z.array(listedServerSchema),
 });
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -165,9 +165,9 @@
     requestedAt: DualTimestamp,
   ): void;
   /** Called with the full list of backend servers. */
-  onServerList(servers: readonly ListedServer[], revision: number): void;
+  onServerList(servers: readonly ListedServer[], position: StorePosition): void;
   /** Called with incremental changes of the list: entries written and ids removed. */
-  onServerChanges(changes: readonly ServerChange[], revision: number): void;
+  onServerChanges(changes: readonly ServerChange[], position: StorePosition): void;
   /** Called when reads of the kind `what` start to fail or succeed again. */
   onReachabilityChange(what: string, isReachable: boolean, detail: string): void;
 }
