Stop sending a request that crashes the servers that run it

Cause: a failure that the request causes was charged to the server. The crash tracker knew parts of prompts only; a plain request, or a stream without shared parts, left nothing that its repeats could be known by. Its retry crashed the next server 60 to 120 ms later, which the tracker joined to one crash with the first.

A request now counts as a part of itself, under a hash of method, host, path, workspace and body that is computed only while there are suspects; one mechanism serves both. Any broken attempt without a complete answer is evidence, a complete answer refutes it. A retry counts as a crash of its own. If nothing was answered since the first crash, the next answer decides.

--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -25,6 +25,7 @@
   cancelled: 499,
   draining: 503,
   'part-blocked': 503,
+  'request-blocked': 503,
   internal: 500,
 };
 
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -38,6 +38,7 @@
   'cancelled',
   'draining',
   'part-blocked',
+  'request-blocked',
   'internal',
 ]);
 
--- a/packages/pipeline/src/lib/startAttempt.ts
+++ b/packages/pipeline/src/lib/startAttempt.ts
@@ -142,7 +142,7 @@
   const serviceMs = pool.clock.now() - startedAt;
   const isBroken = result.kind === 'failed' && result.failure.reason === 'connection-lost';
   if (isBroken && !response.hasBegun && serviceMs >= MIN_CRASH_RUN_MS)
-    pool.crashes.recordCrash(lease.serverId, prefixes);
+    pool.crashes.recordCrash(lease.serverId, prefixes, serviceMs);
   recordServerResult(lease, result, serviceMs);
   slot.release(serviceMs);
   const waste = getWasteCause(state, result);
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -13,6 +13,7 @@
 import type { CallerConnection } from './CallerConnection.js';
 import type { InputBytes } from './chooseBackend.js';
 import type { Backend } from './createBackends.js';
+import type { SuspectIds } from './createSuspectIds.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
 import type { Route } from './RelayConfiguration.js';
@@ -29,6 +30,7 @@
   readonly poolId: PoolId;
   readonly workspaceId: WorkspaceId | undefined;
   readonly rank: number;
+  readonly suspectIds: SuspectIds;
   /** Handles of the stage results that the engine reads; undefined for routes without stages. */
   readonly inputs: readonly string[] | undefined;
   /** Sizes of the inputs, by availability zone. */
--- a/packages/relay/src/lib/addRetryDelay.ts
+++ b/packages/relay/src/lib/addRetryDelay.ts
@@ -6,7 +6,7 @@
 const JITTER_SHARE = 1;
 
 /** Reasons for which a request is rejected again when it is retried. */
-const PERMANENT_REASONS: ReadonlySet<FailureReason> = new Set(['part-blocked']);
+const PERMANENT_REASONS: ReadonlySet<FailureReason> = new Set(['part-blocked', 'request-blocked']);
 
 /**
  * Sets the retry delay of a failed request that did not run, with jitter, so that callers that were
--- a/packages/relay/src/lib/admitRequest.ts
+++ b/packages/relay/src/lib/admitRequest.ts
@@ -9,9 +9,10 @@
 import type { CrashTracker } from '@endiveferry/routing';
 import { err, ok, type Result } from 'neverthrow';
 
-import { checkPromptParts } from './checkPromptParts.js';
+import { checkSuspects } from './checkSuspects.js';
 import type { ConfigurationTracker, ActiveConfiguration } from './createConfigurationTracker.js';
 import { choosePool } from './createRouteTable.js';
+import { createSuspectIds, type SuspectIds } from './createSuspectIds.js';
 import type { RequestMetadata, CallerRequest } from './ports.js';
 import type { RelayWorkspace, Route } from './RelayConfiguration.js';
 
@@ -29,6 +30,7 @@
   readonly active: ActiveConfiguration;
   readonly route: Route;
   readonly workspace: RelayWorkspace | undefined;
+  readonly suspectIds: SuspectIds;
   readonly poolId: PoolId;
   readonly rank: number;
   /** Monotonic time of arrival, in milliseconds. */
@@ -44,7 +46,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly configurationTracker: ConfigurationTracker;
-  readonly crashes: Pick<CrashTracker, 'findBlockedPart'>;
+  readonly crashes: Pick<CrashTracker, 'findBlockedPart' | 'hasSuspects'>;
 }
 
 const reject = (reason: FailureReason, detail: string) => err(createNotRunFailure(reason, detail));
@@ -109,8 +111,9 @@
     );
   const workspace = authenticate({ route, active, metadata }, configurationTracker);
   if (workspace.isErr()) return err(workspace.error);
-  const partFailure = checkPromptParts(metadata.promptParts, crashes);
-  if (partFailure !== undefined) return err(partFailure);
+  const suspectIds = createSuspectIds(callerRequest, metadata, workspace.value?.workspaceId);
+  const crashFailure = checkSuspects(suspectIds, crashes);
+  if (crashFailure !== undefined) return err(crashFailure);
   const poolId = choosePool(route, random);
   if (poolId === undefined) return reject('no-backend-server', 'the route has no pool');
   const remainingMs = metadata.remainingMs ?? route.timeoutMs;
@@ -120,6 +123,7 @@
     active,
     route,
     workspace: workspace.value,
+    suspectIds,
     poolId,
     rank: active.ranks.findRank(route, workspace.value),
     arrivedAt,
--- a/packages/relay/src/lib/crashReports.test.ts
+++ b/packages/relay/src/lib/crashReports.test.ts
@@ -33,6 +33,10 @@
   readonly otherCrashesPerSecond: number;
   readonly restartsPerSecond: number;
   readonly seed: number;
+  /** Crashes after which hosts must know the part. */
+  readonly crashesUntilKnown?: number;
+  /** Servers to which one request is sent; the next one as soon as the last has crashed. */
+  readonly attempts?: number;
 }
 
 interface Engine {
@@ -47,7 +51,8 @@
   const engines = new Map<number, Engine>();
   let starts = 0;
   let crashes = 0;
-  let fifthCrashAt = Infinity;
+  const { crashesUntilKnown = CRASHES_UNTIL_KNOWN, attempts = 1 } = load;
+  let knownFrom = Infinity;
   let lateArrivals = 0;
   let rejectedSound = 0;
   const fleet = createFleetSimulation({
@@ -78,20 +83,26 @@
   const pickSlot = () => [...engines.keys()][random.nextInteger(Math.max(1, engines.size))] ?? -1;
 
   function sendCrashing(): void {
-    const { state: tracker, startedAt } = fleet.pickHost();
+    sendAttempt(fleet.pickHost(), attempts);
+  }
+
+  function sendAttempt(host: ReturnType<typeof fleet.pickHost>, attemptsLeft: number): void {
+    const { state: tracker, startedAt } = host;
     const parts = ['shared', CRASHING_PART];
     const slot = pickSlot();
     const engine = engines.get(slot);
     if (engine === undefined || tracker.findBlockedPart(parts) !== undefined) return;
     const isInTouch = clock.now() - startedAt >= fleet.contactMs;
-    if (isInTouch && clock.now() > fifthCrashAt + fleet.contactMs) lateArrivals += 1;
-    clock.schedule(30 + random.nextFraction() * 100, () => {
+    if (isInTouch && clock.now() > knownFrom + fleet.contactMs) lateArrivals += 1;
+    const runMs = 30 + random.nextFraction() * 100;
+    clock.schedule(runMs, () => {
       if (!engine.hasCrashed) {
         crashes += 1;
-        if (crashes === CRASHES_UNTIL_KNOWN) fifthCrashAt = clock.now();
+        if (crashes === crashesUntilKnown) knownFrom = clock.now();
         crashEngine(slot);
       }
-      tracker.recordCrash(engine.id, parts);
+      tracker.recordCrash(engine.id, parts, runMs);
+      if (attemptsLeft > 1) sendAttempt(host, attemptsLeft - 1);
     });
   }
 
@@ -152,6 +163,36 @@
     ));
 }
 
+for (const { hosts, engines, runs } of sizes) {
+  test(`property: ${hosts} hosts stop sending a repeated request that crashes servers`, () =>
+    fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 1, max: 1_000_000 }),
+        fc.constantFrom(0.7, 2.5, 8),
+        fc.constantFrom(0, 0.1, 0.5),
+        fc.constantFrom(1, 3),
+        async (seed, crashingPerSecond, restartsPerSecond, attempts) => {
+          const result = await replay({
+            hosts,
+            engines,
+            seed,
+            soundPerSecond: 3 * hosts,
+            crashingPerSecond,
+            otherCrashesPerSecond: 0,
+            restartsPerSecond,
+            crashesUntilKnown: 3,
+            attempts,
+          });
+          const summary = JSON.stringify(result);
+          assert.ok(result.crashes >= 3, summary);
+          assert.ok(result.lateArrivals <= MAX_LATER_ARRIVALS, summary);
+          assert.equal(result.rejectedSound, 0, summary);
+        },
+      ),
+      readPropertyOptions(25, Math.max(2, runs / 2)),
+    ));
+}
+
 test('property: engines that crash for other reasons block no part', () =>
   fc.assert(
     fc.asyncProperty(
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -169,8 +169,7 @@
     }
     let output = prepared.value;
     let preparedAt = clock.now();
-    const { callerRequest, metadata, route, poolId, workspace, rank, endAt, streamEndAt } =
-      admitted;
+    const { callerRequest, metadata, route, poolId, workspace, rank, suspectIds } = admitted;
     const renewInputs = async () => {
       output?.free();
       output = undefined;
@@ -196,9 +195,10 @@
         poolId,
         workspaceId: workspace?.workspaceId,
         rank,
+        suspectIds,
         ...inputs.describe(output),
-        endAt,
-        streamEndAt,
+        endAt: admitted.endAt,
+        streamEndAt: admitted.streamEndAt,
         connection,
         responder,
         renewInputs,
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -13,7 +13,7 @@
   ForwardOptions,
   ForwardRequest,
 } from './ForwardRequest.js';
-import { checkPromptParts } from './checkPromptParts.js';
+import { checkSuspects } from './checkSuspects.js';
 import { createStreamRelay } from './createStreamRelay.js';
 import { abortOnTimeout } from './abortOnTimeout.js';
 import { countAttemptEvents, type ForwardState } from './ForwardState.js';
@@ -23,8 +23,8 @@
   type AttemptOutcome,
   type BackendResponse,
 } from './classifyAttempt.js';
-import { listSharedPartIds } from './listSharedParts.js';
 import { isRepeatable } from './RelayConfiguration.js';
+import { recordAnswer } from './recordAnswer.js';
 import { recordAttempt } from './recordAttempt.js';
 import { sendFailure } from './sendFailure.js';
 
@@ -81,7 +81,7 @@
     ...(callerRequest.body.length > 0 ? { rawBody: callerRequest.body } : {}),
     signal: controller.signal,
     // The call may have waited for a connection since the last check.
-    maySend: () => checkPromptParts(metadata.promptParts, options.crashes) === undefined,
+    maySend: () => checkSuspects(request.suspectIds, options.crashes) === undefined,
     onSent() {
       const now = options.clock.now();
       state.sentAt ??= now;
@@ -214,8 +214,7 @@
     resumeAfter: request.metadata.lastEventId,
     onEvent() {
       state.lastEventAt = clock.now();
-      if (countAttemptEvents(state) === 1)
-        options.crashes.recordAnswer(listSharedPartIds(request.metadata.promptParts));
+      if (countAttemptEvents(state) === 1) recordAnswer(request.suspectIds, options.crashes);
       if (state.firstEventAt !== undefined) return;
       state.firstEventAt = state.lastEventAt;
       state.running?.recordFirstEvent();
@@ -242,9 +241,9 @@
   let outcome: AttemptOutcome | undefined;
   for (;;) {
     if (!(await request.connection.confirm())) return sendResponse(state, outcome);
-    const partFailure = checkPromptParts(request.metadata.promptParts, options.crashes);
-    if (partFailure !== undefined) {
-      const { reason, detail } = partFailure;
+    const crashFailure = checkSuspects(request.suspectIds, options.crashes);
+    if (crashFailure !== undefined) {
+      const { reason, detail } = crashFailure;
       return sendResponse(state, { kind: 'not-sent', reason, detail });
     }
     const chosen = options.choose(state.request, state.attemptedIds);
--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -4,18 +4,18 @@
 import type { Backend } from './createBackends.js';
 import type { BreakProgress } from './createRelayMetrics.js';
 import { countAttemptEvents, type ForwardState } from './ForwardState.js';
-import { listSharedPartIds } from './listSharedParts.js';
+import { recordAnswer } from './recordAnswer.js';
 
 /** Number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
-/** Returns how far a stream got that its server broke off; undefined for any other outcome. */
+/** Returns how far a response got that its server broke off; undefined for any other outcome. */
 function findBreakProgress(
   state: ForwardState,
   outcome: AttemptOutcome,
 ): BreakProgress | undefined {
   const isBroken = outcome.kind === 'broken' && outcome.reason === 'connection-lost';
-  if (!isBroken || state.request.route.kind !== 'streaming') return undefined;
+  if (!isBroken) return undefined;
   if (countAttemptEvents(state) > 0) return 'events';
   return state.attempt.hasHead ? 'no-event' : 'no-head';
 }
@@ -27,6 +27,13 @@
   return progress !== 'events' && hasRun;
 }
 
+/** Returns for how long the attempt has run at its server, in milliseconds. */
+function computeRunMs({ attempt, options }: ForwardState): number | undefined {
+  return attempt.sentAt === undefined
+    ? undefined
+    : Math.round(options.clock.now() - attempt.sentAt);
+}
+
 /**
  * Records the outcome of an attempt in the state of its server, the metrics and the log.
  *
@@ -51,11 +58,17 @@
   // A disconnect of the caller is not a failure of the server.
   else if (outcome.kind !== 'refused' && !request.connection.signal.aborted)
     backend.recordFailure();
+  const isStream = request.route.kind === 'streaming';
+  const isAnswer = outcome.kind === 'success' || outcome.kind === 'failure-answer';
+  // A stream proves it with its first event.
+  if (isAnswer && !isStream) recordAnswer(request.suspectIds, options.crashes);
   if (outcome.kind === 'success') return;
   const progress = findBreakProgress(state, outcome);
-  if (progress !== undefined) options.metrics.recordBrokenStream(request.poolId, progress);
-  if (progress !== undefined && isLikelyCrash(state, progress))
-    options.crashes.recordCrash(serverId, listSharedPartIds(request.metadata.promptParts));
+  if (progress !== undefined && isStream)
+    options.metrics.recordBrokenStream(request.poolId, progress);
+  const suspects =
+    progress !== undefined && isLikelyCrash(state, progress) ? request.suspectIds.listAll() : [];
+  if (suspects.length > 0) options.crashes.recordCrash(serverId, suspects, computeRunMs(state));
   options.logger.warn('attempt at a backend server failed', {
     requestId: request.metadata.requestId,
     backendServer: serverId,
@@ -66,13 +79,12 @@
     detail: 'detail' in outcome ? outcome.detail : `status ${outcome.response.status}`,
     connectMs: state.connectMs === undefined ? undefined : Math.round(state.connectMs),
     tries: state.sentAttempts,
-    ranMs:
-      state.attempt.sentAt === undefined
-        ? undefined
-        : Math.round(options.clock.now() - state.attempt.sentAt),
+    ranMs: computeRunMs(state),
     events: state.relay.countEvents(),
     hasHead: state.attempt.hasHead,
     attemptEvents: countAttemptEvents(state),
+    // The id of the request, which its repeats share, if it may have crashed the server.
+    request: suspects[0],
     parts: request.metadata.promptParts.slice(0, MAX_LOGGED_PARTS).map(({ partId }) => partId),
   });
 }
--- a/packages/routing/src/lib/createCrashTracker.test.ts
+++ b/packages/routing/src/lib/createCrashTracker.test.ts
@@ -199,3 +199,36 @@
   await clock.advance(30_000);
   assert.equal(tracker.listReports()[0]?.partId, 'dead');
 });
+
+test('a retry that crashes the next server at once counts as another crash', async () => {
+  const { clock, tracker } = createHarness();
+  tracker.recordAnswer(['other']);
+  for (let index = 0; index < 3; index += 1) {
+    await clock.advance(60);
+    tracker.recordCrash(server(index), ['request'], 55);
+    tracker.recordAnswer(['other']);
+  }
+  assert.equal(tracker.countBlocked(), 1);
+});
+
+test('crashes of servers that ran requests at the same time count as one', async () => {
+  const { clock, tracker } = createHarness();
+  tracker.recordAnswer(['other']);
+  for (let index = 0; index < 3; index += 1) {
+    await clock.advance(30);
+    tracker.recordCrash(server(index), ['request'], 300);
+    tracker.recordAnswer(['other']);
+  }
+  assert.equal(tracker.countBlocked(), 0);
+});
+
+test('crashes while nothing is answered block with the next answer', async () => {
+  const { clock, tracker } = createHarness();
+  for (let index = 0; index < 3; index += 1) {
+    tracker.recordCrash(server(index), ['request'], 50);
+    await clock.advance(200);
+  }
+  assert.equal(tracker.countBlocked(), 0);
+  tracker.recordAnswer(['other']);
+  assert.equal(tracker.countBlocked(), 1);
+});
--- a/packages/routing/src/lib/createCrashTracker.ts
+++ b/packages/routing/src/lib/createCrashTracker.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId, Clock, SuspectReport } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { isSameCrash, type Crash } from './Crash.js';
 import { listTrackedParts } from './listTrackedParts.js';
 
 /**
@@ -21,10 +22,6 @@
 const ANSWER_VALID_MS = 10_000;
 /** Time after which a blocked part is allowed again, in milliseconds. */
 const BLOCK_MS = 600_000;
-/** Crashes closer to each other than this, in milliseconds, have one cause, such as a lost zone. */
-const MIN_CRASH_GAP_MS = 100;
-/** A server is down for longer than this after a crash, in milliseconds. */
-const MIN_RESTART_MS = 1_500;
 /**
  * Hosts accept what is younger than this share of its lifetime, so that hosts which pass it on
  * between them don't keep it alive by the delays of the messages.
@@ -42,7 +39,7 @@
 /** Number of parts in one report. */
 const MAX_REPORTED = 64;
 
-/** A part that is not sent to backend servers. @public */
+/** A part, or a request, that is not sent to backend servers. @public */
 export interface BlockedPart {
   readonly partId: string;
   /** Number of known crashes under it. */
@@ -50,16 +47,22 @@
 }
 
 /**
- * Finds prompt parts that crash every backend server that begins to answer them, from what all
- * hosts see. A crash is evidence against all parts of a request; an answer proves them sound.
+ * Finds prompt parts and requests that crash every backend server that runs them, from what all
+ * hosts see. A request that is repeated counts as a part of itself, with an id of its own. A crash
+ * is evidence against all parts of a request; an answer proves them sound.
  *
  * @public
  */
 export interface CrashTracker {
   /** Records that the answer to a request with these parts began. */
   recordAnswer(partIds: readonly string[]): void;
-  /** Records that a server broke the connection before its answer to such a request began. */
-  recordCrash(serverId: BackendServerId, partIds: readonly string[]): void;
+  /**
+   * Records that a server broke the connection before its answer to such a request began, after it
+   * had run the request for `ranMs` milliseconds.
+   */
+  recordCrash(serverId: BackendServerId, partIds: readonly string[], ranMs?: number): void;
+  /** Whether any part may crash servers. Without suspects nothing needs to be looked up. */
+  readonly hasSuspects: () => boolean;
   /** Finds a part of a request that must not be sent. */
   findBlockedPart(partIds: readonly string[]): BlockedPart | undefined;
   readonly countBlocked: () => number;
@@ -77,11 +80,6 @@
   readonly onChange: () => void;
 }
 
-interface Crash {
-  readonly serverId: BackendServerId;
-  readonly at: number;
-}
-
 interface Suspect {
   crashes: Crash[];
   blockedAt: number | undefined;
@@ -89,12 +87,6 @@
   changedAt: number;
 }
 
-/** Returns whether two observations are of one crash, or of crashes with one cause. */
-function isSameCrash(first: Crash, second: Crash): boolean {
-  const gapMs = Math.abs(first.at - second.at);
-  return gapMs < (first.serverId === second.serverId ? MIN_RESTART_MS : MIN_CRASH_GAP_MS);
-}
-
 /**
  * Creates a tracker without evidence. Meant for requests of which no two are alike, that arrive at
  * any host, share their caller and most parts with sound ones, and crash one server each.
@@ -133,7 +125,9 @@
     suspect.crashes = suspect.crashes.filter(({ at }) => !isProvenSound(partId, at));
     if (suspect.blockedAt !== undefined && isProvenSound(partId, suspect.blockedAt)) {
       suspect.blockedAt = undefined;
-      logger.warn('prompt part allowed again: a request with it was answered', { part: partId });
+      logger.warn('request or prompt part allowed again: a request with it was answered', {
+        part: partId,
+      });
       options.onChange();
     }
     if (suspect.blockedAt === undefined && suspect.crashes.length === 0) suspects.delete(partId);
@@ -148,7 +142,7 @@
         if (suspect.crashes.length === 0) suspects.delete(partId);
       } else if (now - blockedAt > BLOCK_MS) {
         suspects.delete(partId);
-        logger.info('prompt part allowed again: its block expired', { part: partId });
+        logger.info('request or prompt part allowed again: its block expired', { part: partId });
       }
     }
     for (const [partId, until] of replies) if (now > until) replies.delete(partId);
@@ -180,16 +174,17 @@
    */
   function blockIfProven(partId: string): void {
     const suspect = suspects.get(partId);
-    const firstCrashAt = Math.min(...(suspect?.crashes ?? []).map(({ at }) => at));
-    const isPoolServing = lastAnswerAt >= Math.max(firstCrashAt, clock.now() - ANSWER_VALID_MS);
     if (suspect === undefined || suspect.blockedAt !== undefined) return;
-    if (suspect.crashes.length < CRASHES_TO_BLOCK || !isPoolServing) return;
+    if (suspect.crashes.length < CRASHES_TO_BLOCK) return;
+    const firstCrashAt = Math.min(...suspect.crashes.map(({ at }) => at));
+    const isPoolServing = lastAnswerAt >= Math.max(firstCrashAt, clock.now() - ANSWER_VALID_MS);
+    if (!isPoolServing) return;
     block(partId, suspect, clock.now(), 'own evidence');
   }
 
   function block(partId: string, suspect: Suspect, at: number, source: string): void {
     suspect.blockedAt = at;
-    logger.warn('prompt part blocked: backend servers crash under it', {
+    logger.warn('request or prompt part blocked: backend servers crash under it', {
       part: partId,
       source,
       ageMs: Math.round(clock.now() - at),
@@ -202,7 +197,7 @@
     const added = crashes.filter((crash) => addCrash(partId, crash)).length;
     if (added === 0) return;
     const known = suspects.get(partId)?.crashes.length ?? 0;
-    logger.info('backend server crashed under a prompt part', {
+    logger.info('backend server crashed under a request or prompt part', {
       part: partId,
       backendServer: crashes.at(-1)?.serverId,
       crashes: known,
@@ -220,7 +215,7 @@
     }
     const crashes = report.crashes
       .filter(([, ageMs]) => ageMs < CRASH_VALID_MS * ACCEPTED_LIFETIME_SHARE)
-      .map(([serverId, ageMs]) => ({ serverId, at: now - ageMs }));
+      .map(([serverId, ageMs, ranMs]) => ({ serverId, at: now - ageMs, ranMs }));
     const { blockedAgeMs } = report;
     const blockedAt =
       blockedAgeMs === undefined || blockedAgeMs >= BLOCK_MS * ACCEPTED_LIFETIME_SHARE
@@ -248,7 +243,11 @@
     const answeredAt = answers.get(partId);
     return {
       partId,
-      crashes: crashes.map(({ serverId, at }) => [serverId, computeAgeMs(at)]),
+      crashes: crashes.map(({ serverId, at, ranMs }) => [
+        serverId,
+        computeAgeMs(at),
+        ...(ranMs === undefined ? [] : [Math.round(ranMs)]),
+      ]),
       ...(answeredAt === undefined ? {} : { answeredAgeMs: computeAgeMs(answeredAt) }),
       ...(blockedAt === undefined ? {} : { blockedAgeMs: computeAgeMs(blockedAt) }),
     };
@@ -268,15 +267,18 @@
     recordAnswer(partIds) {
       lastAnswerAt = clock.now();
       for (const partId of listTrackedParts(partIds)) setAnswer(partId, lastAnswerAt);
+      // The pool serves again, so the evidence gathered while it did not may suffice.
+      for (const partId of suspects.keys()) blockIfProven(partId);
     },
-    recordCrash(serverId, partIds) {
+    recordCrash(serverId, partIds, ranMs) {
       // A blocked part explains the crash.
       if (findBlockedPart(partIds) !== undefined) return;
       removeExpired();
-      const crash = { serverId, at: clock.now() };
+      const crash = { serverId, at: clock.now(), ranMs };
       for (const partId of listTrackedParts(partIds)) addEvidence(partId, [crash]);
     },
     findBlockedPart,
+    hasSuspects: () => suspects.size > 0,
     countBlocked: () =>
       [...suspects.values()].filter(({ blockedAt }) => blockedAt !== undefined).length,
     applyReports(reports, source) {
