Forget what an older copy listed when a later list lacks it

A server that had left and that an older copy of the store listed was held back for 4.5 s and then listed again, also when a complete list read in between no longer had it; it would have stayed listed until its connections failed. Found by reading.

'a server that has left is not listed again when a later list lacks it' failed before. A first epoch is no longer logged as a change.

--- a/packages/relay/src/lib/createServerList.test.ts
+++ b/packages/relay/src/lib/createServerList.test.ts
@@ -119,3 +119,14 @@
   await clock.advance(2_000);
   assert.deepEqual(names(), ['one']);
 });
+
+test('a server that has left is not listed again when a later list lacks it', async () => {
+  const { clock, list, names } = createHarness();
+  list.replace([one, two], at(5), 'the store');
+  list.apply([{ kind: 'removed', serverId: one.serverId }], at(6));
+  list.replace([one, two], at(4, 2), 'the store');
+  await clock.advance(3_000);
+  list.replace([two], at(9, 2), 'the store');
+  await clock.advance(10_000);
+  assert.deepEqual(names(), ['two']);
+});
--- a/packages/relay/src/lib/createServerList.ts
+++ b/packages/relay/src/lib/createServerList.ts
@@ -160,8 +160,8 @@
       if (isAfter(position, nextPosition)) return;
       if (position.epoch > 0 && nextPosition.epoch > position.epoch) {
         copyReadAt = clock.now();
-        doubted.clear();
       }
+      doubted.clear();
       position = nextPosition;
       const ids = new Set(listed.map(({ serverId }) => serverId));
       for (const serverId of [...servers.keys()])
--- a/packages/relay/src/lib/createStoreEpochs.ts
+++ b/packages/relay/src/lib/createStoreEpochs.ts
@@ -54,7 +54,7 @@
   let latestRevision: number | undefined;
 
   function startEpoch(next: number): void {
-    logger.warn('the epoch of the store changed', { epoch: next, previous: epoch, firstRevision });
+    if (epoch > 0) logger.warn('the epoch of the store changed', { epoch: next, previous: epoch });
     // A host that starts cannot tell for how long the store has been in an epoch.
     if (epoch > 0 || next > FIRST_EPOCH) beganAt = clock.now();
     epoch = next;
