Log the software version of backend servers and which streams callers take up

The store's entries name the version of a server's software, and callers name the request that began a stream; neither was decoded. Without them the log can't tell whether a stream of two versions was joined within a response or when a caller took it up.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -33,6 +33,7 @@
   processIdSchema,
   rankIdSchema,
   requestIdSchema,
+  softwareVersionSchema,
   stageIdSchema,
   workspaceIdSchema,
   type AvailabilityZoneId,
@@ -44,6 +45,7 @@
   type ProcessId,
   type RankId,
   type RequestId,
+  type SoftwareVersion,
   type StageId,
   type WorkspaceId,
 } from './lib/ids.js';
--- a/packages/base/src/lib/ids.ts
+++ b/packages/base/src/lib/ids.ts
@@ -57,6 +57,11 @@
 /** Identifies a request of a caller. @public */
 export type RequestId = z.infer<typeof requestIdSchema>;
 
+/** Schema of the versions of backend servers' software, which have no order. @public */
+export const softwareVersionSchema = z.string().min(1).max(200).brand<'SoftwareVersion'>();
+/** Identifies a version of the software of backend servers. @public */
+export type SoftwareVersion = z.infer<typeof softwareVersionSchema>;
+
 /** Schema of process ids. @public */
 export const processIdSchema = idSchema.brand<'ProcessId'>();
 /** Identifies one run of a daemon; a restarted host keeps its host id but not this one. @public */
--- a/packages/relay/src/lib/RelayConfiguration.ts
+++ b/packages/relay/src/lib/RelayConfiguration.ts
@@ -3,6 +3,7 @@
   BackendServerId,
   PipelineId,
   PoolId,
+  SoftwareVersion,
   WorkspaceId,
 } from '@endiveferry/base';
 
@@ -130,6 +131,8 @@
   readonly slots: number;
   /** Gets no new requests. */
   readonly isLeaving: boolean;
+  /** Version of its software; undefined for a server that names none. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
 }
 
 /**
--- a/packages/relay/src/lib/createServerList.ts
+++ b/packages/relay/src/lib/createServerList.ts
@@ -80,12 +80,15 @@
     removedAt.delete(server.serverId);
     const known = servers.get(server.serverId);
     servers.set(server.serverId, server);
-    if (known?.isLeaving !== server.isLeaving) {
+    const hasChanged =
+      known?.isLeaving !== server.isLeaving || known.softwareVersion !== server.softwareVersion;
+    if (hasChanged) {
       logger.info('backend server added or changed', {
         backendServer: server.serverId,
         pool: server.poolId,
         address: server.address,
         isLeaving: server.isLeaving,
+        softwareVersion: server.softwareVersion,
         ...position,
       });
     }
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -6,6 +6,7 @@
   poolIdSchema,
   processIdSchema,
   requestIdSchema,
+  softwareVersionSchema,
   suspectReportSchema,
 } from '@endiveferry/base';
 import type { HeartbeatCodec } from '@endiveferry/peers';
@@ -151,6 +152,7 @@
   availabilityZone: availabilityZoneIdSchema,
   slots: z.number(),
   isLeaving: z.boolean(),
+  softwareVersion: softwareVersionSchema.optional(),
 });
 
 /** Schema of the response to a `read-servers` request. @internal */
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -45,6 +45,8 @@
   readonly apiKey: string | undefined;
   /** Id of the last event that the caller received; set when it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /** Id of the request that brought the first event of the stream that it resumes. */
+  readonly resumedRequestId: RequestId | undefined;
   readonly promptParts: readonly PromptPart[];
   /** Number of pieces of each stage; 0 skips the stage. */
   readonly pieceCounts: readonly number[];
--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -73,6 +73,8 @@
   options.logger.warn('attempt at a backend server failed', {
     requestId: request.metadata.requestId,
     backendServer: serverId,
+    softwareVersion: backend.server.softwareVersion,
+    lastEventId: state.relay.lastEventId(),
     pool: request.poolId,
     workspace: request.workspaceId,
     outcome: outcome.kind,
--- a/packages/relay/src/lib/recordOutcome.ts
+++ b/packages/relay/src/lib/recordOutcome.ts
@@ -70,6 +70,8 @@
     detail: failure?.detail,
     retryAfterMs: failure?.retryAfterMs,
     backendServers: outcome.servers,
+    resumedRequest: metadata.resumedRequestId,
+    resumedAfter: metadata.lastEventId,
     sentMs: computeSinceArrival(outcome.sentAt),
     disconnectedMs: computeSinceArrival(disconnectedAt),
     loopDelayMs: Math.round(options.findLoopDelayMs()),
