Continue streams only at the software version that began them

What callers saw: status 200 and a complete text whose parts were written by two software versions. Cause: a listed server had no version, so the next attempt within a response went to any engine of the pool, and so did a stream that a caller took up at any host. Class: state of a request that only its server and one host know, treated as if servers were interchangeable. Why it works: the version is taken from the server's entry when it is chosen. Hosts keep where streams began, and send it to each other while more than one version may have begun one. An unknown stream goes on only if the list, other hosts and the changes that the store keeps show one version for as long as a caller waits.

--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -26,6 +26,7 @@
   draining: 503,
   'part-blocked': 503,
   'request-blocked': 503,
+  'cannot-resume': 503,
   internal: 500,
 };
 
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -37,6 +37,8 @@
 import { createRelayListener } from './createRelayListener.js';
 import { createStageWaits } from './createStageWaits.js';
 import { createStoreListener } from './createStoreListener.js';
+import { createStreamTracking } from './createStreamTracking.js';
+import { listLimitSenders } from './listLimitSenders.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
 import { sumPendingTokens } from './sumPendingTokens.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
@@ -121,7 +123,7 @@
     clock,
     logger,
     hostId: hostIdSchema.parse(environment.ip),
-    listHosts: listLimitSenders,
+    listHosts: (serverId) => listLimitSenders(servers.find(serverId)?.poolId, fleet, dispatchers),
     onChange: announceSoon,
   });
   const dispatchers = createDispatchers({
@@ -142,6 +144,7 @@
     listPools: dispatchers.listPools,
     findFleet,
   });
+  const streams = createStreamTracking({ clock, logger, servers, backends, findFleet });
   const crashes = createCrashTracker({ clock, logger, onChange: announceSoon });
   const stages = createStageClient({
     clock,
@@ -164,6 +167,7 @@
     backends,
     crashes,
     limits,
+    origins: streams.origins,
     stages,
     countHosts,
     countOtherHostsTokens: (serverId) => sumPendingTokens(fleet.listHeartbeats(), serverId),
@@ -186,6 +190,7 @@
   const metricsListener = createMetricsListener(metrics);
 
   function applyServers(): void {
+    streams.applyServers();
     const pools = configurationTracker.current()?.configuration.pools;
     if (pools === undefined) return;
     backends.update(servers.list(), pools);
@@ -193,14 +198,6 @@
     dispatchers.update(pools, servers.list());
   }
 
-  /** Only its dispatcher sends calls to the replicas of a stage, any live host to others. */
-  function listLimitSenders(serverId: BackendServerId) {
-    const poolId = servers.find(serverId)?.poolId;
-    if (poolId === undefined) return [];
-    const hosts = fleet.listDispatchers(poolId);
-    return dispatchers.find(poolId) === undefined ? hosts : hosts.slice(0, 1);
-  }
-
   /** Remote ends may have closed connections during the stall. */
   function replaceConnections(pausedMs: number): void {
     logger.warn('event loop stalled; replacing all connections', { pausedMs });
@@ -225,14 +222,17 @@
       pending: backends.listPending(),
       suspects: crashes.listReports(),
       limits: limits.listReports(),
+      versions: streams.versions.buildReport(),
     }),
     listStagePools: dispatchers.listPools,
     onHeartbeat(heartbeat, from) {
       for (const reported of heartbeat.waits) waits.record(reported);
       crashes.applyReports(heartbeat.suspects, `host ${from}`);
       limits.applyReports(heartbeat.limits, `host ${from}`);
+      if (heartbeat.versions !== undefined) streams.versions.applyReport(heartbeat.versions);
     },
-    handleRequest: stages.handleRequest,
+    handleRequest: (from, kind, body, signal) =>
+      stages.handleRequest(from, kind, body, signal) ?? streams.origins.handleRequest(kind, body),
   });
   const callers = await listener.listen(environment.callersAddress);
   options.startStoreReader({
@@ -241,7 +241,14 @@
     random,
     logger,
     supervisor: supervisor.createChild('store'),
-    listener: createStoreListener({ logger, configurationTracker, servers, epochs, dualClock }),
+    listener: createStoreListener({
+      logger,
+      configurationTracker,
+      servers,
+      versions: streams.versions,
+      epochs,
+      dualClock,
+    }),
     confirmedAgeMs: configurationTracker.confirmedAgeMs,
   });
   const addresses = {
--- a/apps/daemon/src/lib/relay/createStoreListener.ts
+++ b/apps/daemon/src/lib/relay/createStoreListener.ts
@@ -5,6 +5,7 @@
   ServerList,
   StoreEpochs,
   StoreListener,
+  VersionHistory,
 } from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
@@ -13,6 +14,7 @@
   readonly logger: Logger;
   readonly configurationTracker: ConfigurationTracker;
   readonly servers: ServerList;
+  readonly versions: Pick<VersionHistory, 'recordContact' | 'recordPast'>;
   readonly epochs: StoreEpochs;
   readonly dualClock: DualClock;
 }
@@ -25,7 +27,7 @@
  * @internal
  */
 export function createStoreListener(options: StoreListenerOptions): StoreListener {
-  const { logger, configurationTracker, servers, epochs, dualClock } = options;
+  const { logger, configurationTracker, servers, versions, epochs, dualClock } = options;
   let logged = '';
 
   /** Logs what the store shows and whether it confirms it, once until either changes. */
@@ -52,7 +54,17 @@
       configurationTracker.apply(document, confirmedAt, 'the store');
     },
     onServerList: (list, position) => servers.replace(list, position, 'the store'),
-    onServerChanges: (changes, position) => servers.apply(changes, position),
+    onServerChanges(changes, position) {
+      versions.recordContact();
+      servers.apply(changes, position);
+    },
+    onPastServers(past, knownMs) {
+      versions.recordPast(past, knownMs);
+      logger.info('read which backend servers were listed before', {
+        backendServers: past.map(({ serverId }) => serverId),
+        knownMs,
+      });
+    },
     onReachabilityChange(what, isReachable, detail) {
       if (what === 'servers' && isReachable) servers.recordStoreRecovery();
       logger.warn(isReachable ? 'the store is reachable again' : 'the store is unreachable', {
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -39,6 +39,7 @@
   'draining',
   'part-blocked',
   'request-blocked',
+  'cannot-resume',
   'internal',
 ]);
 
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -22,7 +22,9 @@
   | 'run-pieces'
   | 'cancel-pieces'
   | 'inputs-fetched'
-  | 'free-results';
+  | 'free-results'
+  | 'record-streams'
+  | 'find-stream';
 
 const requestKindSchema = z.enum([
   'hello',
@@ -37,6 +39,8 @@
   'cancel-pieces',
   'inputs-fetched',
   'free-results',
+  'record-streams',
+  'find-stream',
 ]) satisfies z.ZodType<PeerRequestKind>;
 
 /** Schema of messages on a connection between hosts. @internal */
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -67,4 +67,11 @@
 } from './lib/RelayConfiguration.js';
 export type { Responder } from './lib/Responder.js';
 export type { StorePosition } from './lib/StorePosition.js';
+export {
+  createStreamOrigins,
+  type StreamOrigins,
+  type StreamOriginsOptions,
+} from './lib/streams/createStreamOrigins.js';
+export { createVersionHistory, type VersionHistory } from './lib/streams/createVersionHistory.js';
+export type { StreamOrigin, VersionReport } from './lib/streams/StreamOrigin.js';
 export { runStages, type SizedResult, type StagesOutput, type StagesRun } from './lib/runStages.js';
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -18,6 +18,8 @@
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
 import type { Route } from './RelayConfiguration.js';
 import type { Responder } from './Responder.js';
+import type { StreamOrigins } from './streams/createStreamOrigins.js';
+import type { StreamOrigin } from './streams/StreamOrigin.js';
 
 /** The stage results that the engine reads. @public */
 export type EngineInputs = Pick<ForwardRequest, 'inputs' | 'inputBytes'>;
@@ -31,6 +33,8 @@
   readonly workspaceId: WorkspaceId | undefined;
   readonly rank: number;
   readonly suspectIds: SuspectIds;
+  /** Where its stream began; undefined before its first event. */
+  readonly origin: StreamOrigin | undefined;
   /** Handles of the stage results that the engine reads; undefined for routes without stages. */
   readonly inputs: readonly string[] | undefined;
   /** Sizes of the inputs, by availability zone. */
@@ -57,6 +61,7 @@
     request: ForwardRequest,
     attemptedIds: ReadonlySet<BackendServerId>,
   ) => ChosenBackend | undefined;
+  readonly origins: Pick<StreamOrigins, 'recordBegin'>;
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
   readonly limits: Pick<ServerLimits, 'recordAnswer'>;
--- a/packages/relay/src/lib/ForwardState.ts
+++ b/packages/relay/src/lib/ForwardState.ts
@@ -3,6 +3,7 @@
 import type { RunningCall } from './createBackends.js';
 import type { StreamRelay } from './createStreamRelay.js';
 import type { ForwardOptions, ForwardRequest } from './ForwardRequest.js';
+import type { ListedServer } from './RelayConfiguration.js';
 
 /** How far the response to one attempt got. @internal */
 export interface AttemptProgress {
@@ -33,6 +34,8 @@
   attempt: AttemptProgress;
   lastEventAt: number;
   running: RunningCall | undefined;
+  /** The server of the current attempt, as it was listed when it was chosen. */
+  server: ListedServer | undefined;
   hasRenewedInputs: boolean;
 }
 
--- a/packages/relay/src/lib/addRetryDelay.ts
+++ b/packages/relay/src/lib/addRetryDelay.ts
@@ -8,6 +8,9 @@
 /** Reasons for which a request is rejected again when it is retried. */
 const PERMANENT_REASONS: ReadonlySet<FailureReason> = new Set(['part-blocked', 'request-blocked']);
 
+/** Reasons for which a retry is of use only if the failure says when. */
+const FINAL_REASONS: ReadonlySet<FailureReason> = new Set(['cannot-resume']);
+
 /**
  * Sets the retry delay of a failed request that did not run, with jitter, so that callers that were
  * rejected at the same time don't retry at the same time.
@@ -20,7 +23,8 @@
  */
 export function addRetryDelay(failure: Failure, random: Random): Failure {
   const isPermanent = PERMANENT_REASONS.has(failure.reason);
-  if (isPermanent || failure.execution !== 'not-run') return failure;
+  const isFinal = FINAL_REASONS.has(failure.reason) && failure.retryAfterMs === undefined;
+  if (isPermanent || isFinal || failure.execution !== 'not-run') return failure;
   const baseMs = failure.retryAfterMs ?? DEFAULT_RETRY_DELAY_MS;
   return { ...failure, retryAfterMs: baseMs * (1 + random.nextFraction() * JITTER_SHARE) };
 }
--- /dev/null
+++ b/packages/relay/src/lib/createBackendChooser.ts
@@ -0,0 +1,113 @@
+import type { ServerLimits } from '@endiveferry/admission';
+import {
+  createNotRunFailure,
+  type BackendServerId,
+  type Failure,
+  type PoolId,
+  type Random,
+} from '@endiveferry/base';
+
+import { chooseEngine, choosePlainServer } from './chooseBackend.js';
+import { countTokens } from './countTokens.js';
+import type { Backend, Backends } from './createBackends.js';
+import { createPromptCache } from './createPromptCache.js';
+import type { ChosenBackend, ForwardRequest } from './ForwardRequest.js';
+import type { HostEnvironment } from './ports.js';
+import type { StreamOrigin } from './streams/StreamOrigin.js';
+
+/** Retry delay when all servers of a pool have reached their limits, in milliseconds. */
+const LIMIT_RETRY_MS = 1_000;
+
+/** The servers that may serve a request. @internal */
+export interface BackendGroup {
+  readonly poolId: PoolId;
+  /** Set for a stream that has begun: only servers of its software version can continue it. */
+  readonly origin: StreamOrigin | undefined;
+}
+
+/** Chooses the backend servers of requests. @internal */
+export interface BackendChooser {
+  /** Chooses the server of the next attempt; returns undefined when none is usable. */
+  choose(
+    request: ForwardRequest,
+    attemptedIds: ReadonlySet<BackendServerId>,
+  ): ChosenBackend | undefined;
+  /** Rejects a request at once when all servers of its group have reached the limits they named. */
+  checkLimits(group: BackendGroup): Failure | undefined;
+}
+
+/** Options of {@link createBackendChooser}. @internal */
+export interface BackendChooserOptions {
+  readonly environment: Pick<HostEnvironment, 'availabilityZone'>;
+  readonly random: Random;
+  readonly backends: Pick<Backends, 'listPool'>;
+  readonly limits: ServerLimits;
+  /** Returns the number of unread prompt tokens of other hosts' requests at an engine. */
+  readonly countOtherHostsTokens: (serverId: BackendServerId) => number;
+}
+
+/**
+ * Creates the chooser, with an empty prompt cache.
+ *
+ * @param options - see {@link BackendChooserOptions}
+ * @returns the chooser
+ * @internal
+ */
+export function createBackendChooser(options: BackendChooserOptions): BackendChooser {
+  const { environment, random, backends, limits } = options;
+  const promptCache = createPromptCache();
+
+  function listGroup({ poolId, origin }: BackendGroup): readonly Backend[] {
+    const pool = backends.listPool(poolId);
+    if (origin === undefined) return pool;
+    return pool.filter(({ server }) => server.softwareVersion === origin.softwareVersion);
+  }
+
+  function chooseFromGroup(
+    request: ForwardRequest,
+    attemptedIds: ReadonlySet<BackendServerId>,
+  ): ChosenBackend | undefined {
+    const choice = {
+      candidates: listGroup(request),
+      attemptedIds,
+      availabilityZone: environment.availabilityZone,
+      limits,
+      jitter: () => random.nextFraction(),
+    };
+    if (request.route.kind !== 'streaming') {
+      const backend = choosePlainServer(choice);
+      return backend === undefined ? undefined : { backend, promptTokens: 0 };
+    }
+    const { promptParts } = request.metadata;
+    const backend = chooseEngine({
+      ...choice,
+      promptParts,
+      inputs: request.inputBytes,
+      cache: promptCache,
+      countOtherHostsTokens: options.countOtherHostsTokens,
+    });
+    if (backend === undefined) return undefined;
+    const { serverId } = backend.server;
+    const promptTokens = countTokens(promptParts) - promptCache.countCached(serverId, promptParts);
+    promptCache.recordSent(serverId, promptParts);
+    return { backend, promptTokens };
+  }
+
+  return {
+    choose(request, attemptedIds) {
+      const chosen = chooseFromGroup(request, attemptedIds);
+      if (chosen !== undefined) limits.recordSent(chosen.backend.server.serverId);
+      return chosen;
+    },
+    checkLimits(group) {
+      const usable = listGroup(group).filter(({ server }) => !server.isLeaving);
+      const isExhausted = usable.every(({ server }) => !limits.maySend(server.serverId));
+      if (usable.length === 0 || !isExhausted) return undefined;
+      return createNotRunFailure(
+        'overloaded',
+        `all ${usable.length} servers of pool ${group.poolId} have named limits, which are reached`,
+        LIMIT_RETRY_MS,
+      );
+    },
+  };
+}
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -92,6 +92,10 @@
   readonly countHosts: () => number;
 }
 
+/** A server that starts again under its id may have another address and software version. */
+const isSameProcess = (listed: ListedServer | undefined, known: ListedServer) =>
+  listed?.address === known.address && listed.softwareVersion === known.softwareVersion;
+
 /**
  * Creates an empty registry of backend servers.
  *
@@ -204,7 +208,7 @@
     update(servers, pools) {
       const listed = new Map(servers.map((server) => [server.serverId, server]));
       for (const [serverId, backend] of backends) {
-        if (listed.get(serverId)?.address === backend.server.address) continue;
+        if (isSameProcess(listed.get(serverId), backend.server)) continue;
         backends.delete(serverId);
         void backend.connections.close();
       }
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -1,17 +1,19 @@
 import {
+  computeRendezvousOrder,
   computeWeightedOrder,
   createRandom,
-  describeError,
   hostIdSchema,
   type Clock,
   type HostId,
   type PoolId,
   type ProcessId,
+  type RequestId,
   type Random,
   type Supervisor,
 } from '@endiveferry/base';
 import {
   choosePeers,
+  isFullyLinked,
   createPeerNetwork,
   type HandleHostRequest,
   type PeerNetwork,
@@ -22,8 +24,9 @@
 import { computeHostWeight } from './computeHostWeight.js';
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
 import { createMembership } from './createMembership.js';
+import { createPeerReader } from './createPeerReader.js';
 import type { ServerList } from './createServerList.js';
-import type { DualTimestamp, DualClock } from './createDualClock.js';
+import type { DualClock } from './createDualClock.js';
 import {
   configurationReplySchema,
   serverListReplySchema,
@@ -37,8 +40,9 @@
 const KEEPALIVE_TIMEOUT_MS = 900;
 /** Time for which an order of dispatchers is cached, in milliseconds: each decision reads it. */
 const ORDER_CACHE_MS = 50;
-/** Timeout for reading the configuration or the server list from a host, in milliseconds. */
-const READ_TIMEOUT_MS = 2_000;
+
+/** Hosts that hold the record of a stream in a fleet that is not fully linked. */
+const RECORD_HOLDERS = 3;
 
 /** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
 export type HandleFleetRequest = (
@@ -61,6 +65,8 @@
   readonly isDispatcher: (poolId: PoolId) => boolean;
   /** Returns the number of known hosts, including this one and those that stopped seconds ago. */
   readonly countHosts: () => number;
+  /** Returns the other hosts that hold the record of a request's stream. */
+  listRecordHolders(requestId: RequestId): readonly HostId[];
   readonly request: PeerNetwork<RelayHeartbeat>['request'];
   /** Returns the last heartbeats of live hosts. */
   readonly listHeartbeats: () => readonly RelayHeartbeat[];
@@ -89,7 +95,10 @@
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
   /** Builds the part of a heartbeat on dispatchers, on prompts, and on backend servers. */
-  readonly buildLoad: () => Pick<RelayHeartbeat, 'waits' | 'pending' | 'suspects' | 'limits'>;
+  readonly buildLoad: () => Pick<
+    RelayHeartbeat,
+    'waits' | 'pending' | 'suspects' | 'limits' | 'versions'
+  >;
   /** Returns the pools whose pieces are run through a dispatcher. */
   readonly listStagePools: () => readonly PoolId[];
   /** Called with the heartbeats of other hosts. */
@@ -196,32 +205,11 @@
     if (isAfter(position, servers.position())) void readServers(id);
   }
 
-  /** Creates a function that reads a newer document from another host, one read at a time. */
-  function createReader(
-    kind: 'read-configuration' | 'read-servers',
-    what: string,
-    apply: (body: unknown, from: HostId, requestedAt: DualTimestamp) => void,
-  ): (from: HostId) => Promise<void> {
-    let isReading = false;
-    return async (from) => {
-      if (isReading) return;
-      isReading = true;
-      const requestedAt = dualClock.now();
-      try {
-        const reply = await network.request(from, kind, {}, READ_TIMEOUT_MS);
-        if (reply.isErr()) throw new Error(reply.error.detail);
-        apply(reply.value, from, requestedAt);
-      } catch (error) {
-        logger.warn(`failed to read ${what} from a host`, {
-          peer: from,
-          error: describeError(error),
-        });
-      } finally {
-        isReading = false;
-      }
-    };
-  }
-
+  const createReader = createPeerReader({
+    dualClock,
+    logger,
+    request: (...args) => network.request(...args),
+  });
   const readConfiguration = createReader(
     'read-configuration',
     'the configuration',
@@ -285,6 +273,12 @@
     listDispatchers,
     isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
     countHosts: () => 1 + members.countKnown(),
+    listRecordHolders(requestId) {
+      const others = members.listKnown();
+      return isFullyLinked(others.length + 1)
+        ? others
+        : computeRendezvousOrder(requestId, others).slice(0, RECORD_HOLDERS);
+    },
     request: (...args) => network.request(...args),
     listHeartbeats: members.listHeartbeats,
     announce() {
--- a/packages/relay/src/lib/createRelayMetrics.ts
+++ b/packages/relay/src/lib/createRelayMetrics.ts
@@ -28,6 +28,8 @@
   recordDisconnect(wasSent: boolean): void;
   /** Counts a stream that its backend server broke off. */
   recordBrokenStream(poolId: PoolId, progress: BreakProgress): void;
+  /** Counts a stream that a caller took up. */
+  recordResumedStream(poolId: PoolId, outcome: 'continued' | 'rejected'): void;
   recordStageRequest(poolId: PoolId, outcome: StageRequestOutcome): void;
   recordPieceCall(poolId: PoolId, outcome: BatchOutcome['kind']): void;
   /** Counts results that no request needed any more when they were made. */
@@ -52,6 +54,11 @@
     'streams that a backend server broke off, by how far they got',
     ['pool', 'progress'],
   );
+  const resumedStreams = metrics.registerCounter(
+    'endiveferry_resumed_streams_total',
+    'streams that callers took up, by whether they could go on',
+    ['pool', 'outcome'],
+  );
   const stageRequests = metrics.registerCounter(
     'endiveferry_stage_requests_total',
     'requests between hosts to run a stage',
@@ -70,6 +77,7 @@
   return {
     recordDisconnect: (wasSent) => disconnects({ sent: String(wasSent) }),
     recordBrokenStream: (pool, progress) => brokenStreams({ pool, progress }),
+    recordResumedStream: (pool, outcome) => resumedStreams({ pool, outcome }),
     recordStageRequest: (pool, outcome) => stageRequests({ pool, outcome }),
     recordPieceCall: (pool, outcome) => pieceCalls({ pool, outcome }),
     recordUnusedResult: (pool) => unusedResults({ pool }),
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -9,30 +9,28 @@
 import { createRetryBudget, type RetryBudget, type ServerLimits } from '@endiveferry/admission';
 import type { CrashTracker } from '@endiveferry/routing';
 import type { Logger, Metrics } from '@endiveferry/telemetry';
-import { err } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 
 import { admitRequest, type AdmittedRequest } from './admitRequest.js';
 import type { CallerConnection } from './CallerConnection.js';
-import { chooseEngine, choosePlainServer } from './chooseBackend.js';
-import { countTokens } from './countTokens.js';
+import { createBackendChooser } from './createBackendChooser.js';
 import type { Backends } from './createBackends.js';
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
 import { createInputPreparer } from './createInputPreparer.js';
-import { createPromptCache } from './createPromptCache.js';
 import type { StageClient } from './createStageClient.js';
 import { forwardToBackend } from './forwardToBackend.js';
-import type { ForwardOutcome, ForwardRequest } from './ForwardRequest.js';
+import type { ForwardOutcome } from './ForwardRequest.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import type { HostEnvironment, CallerRequest, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
 import { recordOutcome } from './recordOutcome.js';
 import { sendFailure } from './sendFailure.js';
+import type { StreamOrigins } from './streams/createStreamOrigins.js';
+import type { StreamOrigin } from './streams/StreamOrigin.js';
 
 /** Share of the fleet-wide retry budget that is used, because no host knows the fleet exactly. */
 const PLANNED_BUDGET_SHARE = 0.7;
-/** Retry delay when all servers of a pool have reached their limits, in milliseconds. */
-const LIMIT_RETRY_MS = 1_000;
 
 /** Serves callers' requests from arrival to response. @public */
 export interface RelayService {
@@ -58,7 +56,11 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly relayMetrics: Pick<RelayMetrics, 'recordDisconnect' | 'recordBrokenStream'>;
+  readonly relayMetrics: Pick<
+    RelayMetrics,
+    'recordDisconnect' | 'recordBrokenStream' | 'recordResumedStream'
+  >;
+  readonly origins: StreamOrigins;
   /** Returns the longest recent delay of this process's event loop, in milliseconds. */
   readonly findLoopDelayMs: () => number;
   readonly protocol: WireProtocol;
@@ -86,10 +88,10 @@
  * @public
  */
 export function createRelayService(options: RelayServiceOptions): RelayService {
-  const { environment, clock, random, logger, protocol, configurationTracker, backends } = options;
-  const promptCache = createPromptCache();
+  const { environment, clock, random, logger, protocol, configurationTracker } = options;
   const budgets = new Map<PoolId, RetryBudget>();
   const inputs = createInputPreparer(options);
+  const chooser = createBackendChooser(options);
   let activeRequests = 0;
 
   function getRetryBudget(poolId: PoolId): RetryBudget {
@@ -103,71 +105,53 @@
     return budget;
   }
 
-  function choose(request: ForwardRequest, attemptedIds: ReadonlySet<BackendServerId>) {
-    const chosen = chooseBackend(request, attemptedIds);
-    if (chosen !== undefined) options.limits.recordSent(chosen.backend.server.serverId);
-    return chosen;
-  }
-
-  /** Rejects a request at once when all servers of its pool have reached the limits they named. */
-  function checkLimits({ poolId }: AdmittedRequest): Failure | undefined {
-    const usable = backends.listPool(poolId).filter(({ server }) => !server.isLeaving);
-    const isExhausted = usable.every(({ server }) => !options.limits.maySend(server.serverId));
-    if (usable.length === 0 || !isExhausted) return undefined;
-    return createNotRunFailure(
-      'overloaded',
-      `all ${usable.length} servers of pool ${poolId} have named limits, which are reached`,
-      LIMIT_RETRY_MS,
-    );
-  }
-
-  function chooseBackend(request: ForwardRequest, attemptedIds: ReadonlySet<BackendServerId>) {
-    const choice = {
-      candidates: backends.listPool(request.poolId),
-      attemptedIds,
-      availabilityZone: environment.availabilityZone,
-      limits: options.limits,
-      jitter: () => random.nextFraction(),
-    };
-    if (request.route.kind !== 'streaming') {
-      const backend = choosePlainServer(choice);
-      return backend === undefined ? undefined : { backend, promptTokens: 0 };
+  /** Finds where a stream began that the caller takes up; undefined for any other request. */
+  async function resolveOrigin({
+    metadata,
+    route,
+    poolId,
+  }: AdmittedRequest): Promise<Result<StreamOrigin | undefined, Failure>> {
+    if (route.kind !== 'streaming') return ok(undefined);
+    if (metadata.lastEventId === undefined) {
+      options.origins.recordDeadline(metadata.remainingMs ?? route.timeoutMs);
+      return ok(undefined);
     }
-    const { promptParts } = request.metadata;
-    const backend = chooseEngine({
-      ...choice,
-      promptParts,
-      inputs: request.inputBytes,
-      cache: promptCache,
-      countOtherHostsTokens: options.countOtherHostsTokens,
+    const origin = await options.origins.resolve({
+      requestId: metadata.resumedRequestId,
+      poolId,
+      poolIds: route.pools.map((pool) => pool.poolId),
     });
-    if (backend === undefined) return undefined;
-    const { serverId } = backend.server;
-    const promptTokens = countTokens(promptParts) - promptCache.countCached(serverId, promptParts);
-    promptCache.recordSent(serverId, promptParts);
-    return { backend, promptTokens };
+    const outcome = origin.isOk() ? 'continued' : 'rejected';
+    options.relayMetrics.recordResumedStream(poolId, outcome);
+    return origin;
   }
 
   /** Runs the stages of a request, unless it is known that it cannot be served. */
   async function prepare(admitted: AdmittedRequest, connection: CallerConnection) {
     if (!(await connection.confirm()))
       return err(createNotRunFailure('cancelled', 'the caller disconnected'));
-    const failure = checkLimits(admitted);
-    return failure === undefined ? inputs.prepare(admitted, connection.signal) : err(failure);
+    const origin = await resolveOrigin(admitted);
+    if (origin.isErr()) return err(origin.error);
+    const started = { ...admitted, poolId: origin.value?.poolId ?? admitted.poolId };
+    const failure = chooser.checkLimits({ poolId: started.poolId, origin: origin.value });
+    if (failure !== undefined) return err(failure);
+    const output = await inputs.prepare(started, connection.signal);
+    return output.map((value) => ({ admitted: started, origin: origin.value, output: value }));
   }
 
   async function serveAdmitted(
-    admitted: AdmittedRequest,
+    received: AdmittedRequest,
     responder: Responder,
     connection: CallerConnection,
   ): Promise<ForwardOutcome> {
     const { signal } = connection;
-    const prepared = await prepare(admitted, connection);
+    const prepared = await prepare(received, connection);
     if (prepared.isErr()) {
-      const sent = sendFailure(prepared.error, admitted.metadata.requestId, responder, options);
+      const sent = sendFailure(prepared.error, received.metadata.requestId, responder, options);
       return { ...sent, servers: [], firstEventAt: undefined, sentAt: undefined };
     }
-    let output = prepared.value;
+    const { admitted, origin } = prepared.value;
+    let { output } = prepared.value;
     let preparedAt = clock.now();
     const { callerRequest, metadata, route, poolId, workspace, rank, suspectIds } = admitted;
     const renewInputs = async () => {
@@ -196,6 +180,7 @@
         workspaceId: workspace?.workspaceId,
         rank,
         suspectIds,
+        origin,
         ...inputs.describe(output),
         endAt: admitted.endAt,
         streamEndAt: admitted.streamEndAt,
@@ -208,7 +193,8 @@
         clock,
         logger,
         protocol,
-        choose,
+        choose: (request, attemptedIds) => chooser.choose(request, attemptedIds),
+        origins: options.origins,
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
         limits: options.limits,
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -49,6 +49,20 @@
   return isStream;
 }
 
+/** Records which software version began the stream, so that no other one continues it. */
+function recordOrigin(state: ForwardState): void {
+  const { request, options, server } = state;
+  if (server === undefined) return;
+  const { poolId, softwareVersion } = server;
+  state.request = { ...request, origin: { poolId, softwareVersion } };
+  const { requestId } = request.metadata;
+  if (!request.route.isResumable) return;
+  options.origins.recordBegin(
+    { requestId, poolId, softwareVersion },
+    request.route.pools.length > 1,
+  );
+}
+
 async function runAttempt(
   state: ForwardState,
   { backend, promptTokens }: ChosenBackend,
@@ -65,6 +79,7 @@
   const running = backend.startCall(promptTokens);
   const startedAt = options.clock.now();
   state.running = running;
+  state.server = backend.server;
   state.connectMs = undefined;
   state.attempt = { hasHead: false, sentAt: undefined, eventsBefore: relay.countEvents() };
   const result = await backend.connections.send({
@@ -215,6 +230,7 @@
     onEvent() {
       state.lastEventAt = clock.now();
       if (countAttemptEvents(state) === 1) recordAnswer(request.suspectIds, options.crashes);
+      if (state.request.origin === undefined) recordOrigin(state);
       if (state.firstEventAt !== undefined) return;
       state.firstEventAt = state.lastEventAt;
       state.running?.recordFirstEvent();
@@ -235,6 +251,7 @@
     attempt: { hasHead: false, sentAt: undefined, eventsBefore: 0 },
     lastEventAt: 0,
     running: undefined,
+    server: undefined,
     hasRenewedInputs: false,
   };
   options.budget.recordFirstAttempt();
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -13,6 +13,7 @@
 import { z } from 'zod';
 
 import { rankWaitSchema } from './pieces/RankWait.js';
+import { versionReportSchema } from './streams/StreamOrigin.js';
 
 /**
  * A host, the age of its last heartbeat in milliseconds, whether it is stopping, and its weight.
@@ -58,6 +59,8 @@
   suspects: z.array(suspectReportSchema).default([]),
   /** Limits that backend servers have named, and those that ended recently. */
   limits: z.array(limitReportSchema).default([]),
+  /** Software versions that the sender has seen listed; absent from hosts that don't track them. */
+  versions: versionReportSchema.optional(),
 });
 
 /** State that relay hosts send each other periodically. @public */
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -170,6 +170,8 @@
   onServerList(servers: readonly ListedServer[], position: StorePosition): void;
   /** Called with incremental changes of the list: entries written and ids removed. */
   onServerChanges(changes: readonly ServerChange[], position: StorePosition): void;
+  /** Called with servers that were listed before, which is known for the past `knownMs`. */
+  onPastServers(servers: readonly ListedServer[], knownMs: number): void;
   /** Called when reads of the kind `what` start to fail or succeed again. */
   onReachabilityChange(what: string, isReachable: boolean, detail: string): void;
 }
--- /dev/null
+++ b/packages/relay/src/lib/streams/createStreamOrigins.ts
@@ -0,0 +1,181 @@
+import {
+  createNotRunFailure,
+  NO_LONGER_NEEDED,
+  waitFor,
+  type Clock,
+  type Failure,
+  type HostId,
+  type PoolId,
+  type RequestId,
+} from '@endiveferry/base';
+import type { Logger } from '@endiveferry/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+import type { Fleet } from '../createFleet.js';
+import { createStreamRecords } from './createStreamRecords.js';
+import type { VersionHistory } from './createVersionHistory.js';
+import {
+  streamOriginSchema,
+  streamRecordSchema,
+  type StreamOrigin,
+  type StreamRecord,
+} from './StreamOrigin.js';
+
+/** Delay within which records are sent to other hosts together, in milliseconds. */
+const SHARE_DELAY_MS = 20;
+/** Longest wait for the answers of other hosts, in milliseconds: it delays the caller. */
+const FIND_TIMEOUT_MS = 400;
+/** Time after the start in which a host may still learn what it needs, in milliseconds. */
+const LEARNING_MS = 1_500;
+const LEARNING_RETRY_MS = 500;
+
+const recordsSchema = z.object({ records: z.array(streamRecordSchema) });
+const findRequestSchema = z.object({ requestId: streamRecordSchema.shape.requestId });
+const findReplySchema = z.object({ origin: streamOriginSchema.optional() });
+
+/** A stream that a caller takes up. @internal */
+export interface ResumedStream {
+  /** The request that brought its first event; undefined when the caller names none. */
+  readonly requestId: RequestId | undefined;
+  /** Pool in which it goes on if its own is unknown and only one version can have begun it. */
+  readonly poolId: PoolId;
+  /** Pools that serve its route. */
+  readonly poolIds: readonly PoolId[];
+}
+
+/**
+ * Knows which software version began each stream, over all hosts.
+ *
+ * @public
+ */
+export interface StreamOrigins {
+  /** Records where a stream of this host began; `isSplit` if its route has several pools. */
+  recordBegin(record: StreamRecord, isSplit: boolean): void;
+  /** Finds where a stream began, or why it can't go on. */
+  resolve(stream: ResumedStream): Promise<Result<StreamOrigin, Failure>>;
+  /** Records the time that the caller of a new stream waits, in milliseconds. */
+  recordDeadline(remainingMs: number): void;
+  /** Sends records that other hosts need since a pool has several versions. */
+  shareRecords(): void;
+  /** Handles a request of another host; undefined for an unknown kind. */
+  handleRequest(kind: string, body: unknown): Promise<unknown> | undefined;
+}
+
+/** Options of {@link createStreamOrigins}. @public */
+export interface StreamOriginsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly history: VersionHistory;
+  readonly findFleet: () => Pick<Fleet, 'hostId' | 'request' | 'listRecordHolders'>;
+  /** Whether a server of the pool and version takes requests. */
+  readonly isServed: (origin: StreamOrigin) => boolean;
+}
+
+/**
+ * Creates the knowledge of a host that has just started. Records are sent to other hosts only while
+ * more than one version may have begun a stream.
+ *
+ * @param options - see {@link StreamOriginsOptions}
+ * @returns the knowledge
+ * @public
+ */
+export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
+  const { clock, logger, history, findFleet } = options;
+  const records = createStreamRecords(clock, history.lifetimeMs);
+  const startedAt = clock.now();
+  const pending = new Map<HostId, StreamRecord[]>();
+
+  const reject = (stream: ResumedStream, detail: string, retryAfterMs?: number) => {
+    logger.info('a stream cannot go on', { stream: stream.requestId, detail, retryAfterMs });
+    return err(createNotRunFailure('cannot-resume', detail, retryAfterMs));
+  };
+
+  function sendPending(): void {
+    for (const [hostId, batch] of pending)
+      void findFleet().request(hostId, 'record-streams', { records: batch }, FIND_TIMEOUT_MS);
+    pending.clear();
+  }
+
+  function share(record: StreamRecord): void {
+    if (pending.size === 0) clock.schedule(SHARE_DELAY_MS, sendPending);
+    for (const hostId of findFleet().listRecordHolders(record.requestId)) {
+      const batch = pending.get(hostId) ?? [];
+      batch.push(record);
+      pending.set(hostId, batch);
+    }
+  }
+
+  async function ask(hostId: HostId, requestId: RequestId): Promise<StreamOrigin> {
+    const reply = await findFleet().request(hostId, 'find-stream', { requestId }, FIND_TIMEOUT_MS);
+    const origin = reply.isOk() ? findReplySchema.parse(reply.value).origin : undefined;
+    if (origin === undefined) throw new Error('the host does not know the stream');
+    return origin;
+  }
+
+  /** Asks the hosts that hold the record of a stream; undefined when none of them has it. */
+  async function findAtOtherHosts(requestId: RequestId): Promise<StreamOrigin | undefined> {
+    const answers = findFleet()
+      .listRecordHolders(requestId)
+      .map((hostId) => ask(hostId, requestId));
+    const timeout = new AbortController();
+    const expired = waitFor(clock, FIND_TIMEOUT_MS, timeout.signal).then(() => undefined);
+    // It rejects when no host knows the stream.
+    const known = Promise.any(answers).catch(() => undefined);
+    const origin = await Promise.race([known, expired]);
+    timeout.abort(NO_LONGER_NEEDED);
+    if (origin !== undefined) records.add({ requestId, ...origin }, true);
+    return origin;
+  }
+
+  async function findOrigin({ requestId, poolId }: ResumedStream) {
+    const known = requestId === undefined ? undefined : records.find(requestId);
+    return (
+      known ??
+      history.findOnlyOrigin(poolId) ??
+      (requestId === undefined ? undefined : await findAtOtherHosts(requestId))
+    );
+  }
+
+  const requestHandlers: Partial<Record<string, (body: unknown) => unknown>> = {
+    'record-streams'(body) {
+      for (const record of recordsSchema.parse(body).records) records.add(record, true);
+      return true;
+    },
+    'find-stream': (body) => ({ origin: records.find(findRequestSchema.parse(body).requestId) }),
+  };
+
+  return {
+    recordBegin(record, isSplit) {
+      const isNeeded = isSplit || !history.isCertain(record.poolId);
+      records.add(record, isNeeded);
+      if (isNeeded) share(record);
+    },
+    async resolve(stream) {
+      const origin = await findOrigin(stream);
+      if (origin === undefined) {
+        const isLearning = clock.now() - startedAt < LEARNING_MS;
+        return reject(
+          stream,
+          'several software versions may have begun the stream',
+          isLearning ? LEARNING_RETRY_MS : undefined,
+        );
+      }
+      const { poolId, softwareVersion } = origin;
+      if (!stream.poolIds.includes(poolId))
+        return reject(stream, `the stream began in pool ${poolId}, which no longer serves it`);
+      if (options.isServed(origin)) return ok(origin);
+      const version = softwareVersion ?? 'without a name';
+      return reject(stream, `no server of software version ${version} is left in pool ${poolId}`);
+    },
+    recordDeadline: (remainingMs) => history.recordDeadline(remainingMs),
+    shareRecords() {
+      for (const record of records.takeUnshared(({ poolId }) => !history.isCertain(poolId)))
+        share(record);
+    },
+    handleRequest(kind, body) {
+      const handle = requestHandlers[kind];
+      return handle === undefined ? undefined : Promise.resolve(handle(body));
+    },
+  };
+}
