Treat an empty resumption that ends with its connection as broken

What callers saw: a stream that broke off ended as if it were complete, with events missing. Cause: a response without a length that ends before its first event was known to be broken only if the caller had no event yet; a resumption that ends so, as a crash leaves it, was taken for the rest of the stream. Evidence: the test failed before, the response ended after the second of five events. Why it works: the events of the attempt are counted, not those of the stream. The stream is then resumed again or broken off, which the caller can tell. The test of an error's text in a stream passed before and after.

--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -125,12 +125,12 @@
 
 /**
  * Returns whether a stream without a length, which ends with its connection, ended without any
- * event: a server that crashes as it begins its response leaves the same bytes.
+ * event of this attempt: a server that crashes as it begins its response leaves the same bytes.
  */
-function isEmptyUntilClose({ relay }: ForwardState, { headers }: BackendResponse): boolean {
+function isEmptyUntilClose(state: ForwardState, { headers }: BackendResponse): boolean {
   const hasLength =
     headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  return !hasLength && relay.lastEventId() === undefined && relay.countEvents() === 0;
+  return !hasLength && countAttemptEvents(state) === 0;
 }
 
 /** Reserves an attempt at another server; false when no further attempt is allowed. */
