Break a stream off when its resumption is answered without events

What callers saw: a stream that broke off neither went on nor ended until they gave up. Cause: a complete, signed success that is no event stream counted as the end of the stream, whose response was then left open, because events are forwarded as they arrive. Evidence: the test failed before, neither an end nor a break within 3 s. Why it works: such an answer to a resumption counts as a broken attempt, so the stream is resumed elsewhere while attempts are left, and otherwise broken off.

--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -114,7 +114,11 @@
   controller.abort(NO_LONGER_NEEDED);
   request.connection.signal.removeEventListener('abort', abort);
   const outcome = classifyAttempt(result, metadata.requestId, options.protocol);
-  if (outcome.kind !== 'success' || !stream.hasStarted) return outcome;
+  if (outcome.kind !== 'success') return outcome;
+  if (!stream.hasStarted) {
+    if (!request.responder.hasStarted()) return outcome;
+    return { kind: 'broken', reason: 'bad-answer', detail: 'the resumption has no events' };
+  }
   const reason = 'connection-lost';
   if (isEmptyUntilClose(state, outcome.response)) {
     return { kind: 'broken', reason, detail: 'the stream ended before its first event' };
