--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -85,6 +85,8 @@
     ranMs,
     events: state.relay.countEvents(),
     hasHead: state.attempt.hasHead,
+    // Without its id, a response may belong to an earlier request on the same connection.
+    hasResponseId: 'metadata' in outcome ? outcome.metadata.requestId !== undefined : undefined,
     attemptEvents: countAttemptEvents(state),
     // The id of the request, which its repeats share, if it may have crashed the server.
     request: suspects[0],
