Close a connection after a rejection that does not name its request

What callers saw: a request that may not be repeated ran twice, or was answered 'not run' although it ran, when a faulty server wrote an earlier rejection once more on a kept connection. Cause: a repeated rejection is told from the due one by the id of its request. Without an id it was taken for the answer to the next request, which was then sent to another server. Why it works: nothing can follow such a rejection on a closed connection. Servers that name the request keep their connections; others cost one connection per rejection.

--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -42,6 +42,10 @@
     start.abort(new Error('the response has the id of another request'));
     return false;
   }
+  // On a kept connection, a rejection that does not name its request could be repeated before the
+  // response to a later one.
+  const isNotRun = metadata.isRejection || metadata.isMisdirected;
+  if (isNotRun && metadata.requestId === undefined) start.discardBody();
   if (metadata.isSigned || metadata.isRejection)
     options.limits.recordAnswer(serverId, metadata.perSecondLimit);
   const isStream = start.status === 200 && metadata.isSigned && metadata.isEventStream;
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -57,6 +57,8 @@
   resume(): void;
   /** Closes the connection; the call ends with the result `unknown`. */
   abort(reason: Error): void;
+  /** Closes the connection; the call ends as answered, with an empty body. */
+  discardBody(): void;
 }
 
 /**
@@ -151,8 +153,12 @@
       const pause = () => controller.pause();
       const resume = () => controller.resume();
       const abort = (reason: Error) => controller.abort(reason);
+      const discardBody = () => {
+        end({ kind: 'answered', status, headers, body: Buffer.alloc(0) });
+        controller.abort(new Error('the body was discarded'));
+      };
       isStreamed =
-        call.onStart?.({ status, headers, pause, resume, abort }) ??
+        call.onStart?.({ status, headers, pause, resume, abort, discardBody }) ??
         (call.onData !== undefined && status === 200);
     },
     onResponseData(controller, chunk) {
