Connect to backend servers through other hosts when there is no direct path

What callers saw: a host that had lost its paths to all servers rejected them, or let them wait until their deadline, while all other hosts served. Cause: a host had no other way to a server than its own connection, and took the loss of all for failures of single servers: a second per server and request, on kept connections until a retry timeout. Class: what one host observes is taken for the state of the servers. Why it works: connections fall back to a host that reaches the server, so that nothing about requests changes. When no server sends anything although calls wait, and others reach them, kept connections are replaced.

--- /dev/null
+++ b/apps/daemon/src/lib/relay/createHeartbeatContent.ts
@@ -0,0 +1,45 @@
+import type { ServerLimits } from '@endiveferry/admission';
+import type { Backends, FleetOptions, VersionHistory } from '@endiveferry/relay';
+import type { CrashTracker } from '@endiveferry/routing';
+
+import type { StageWaits } from './createStageWaits.js';
+
+/** What hosts tell each other in heartbeats. @internal */
+export interface HeartbeatSources {
+  readonly waits: StageWaits;
+  readonly backends: Pick<Backends, 'listPending'>;
+  readonly crashes: CrashTracker;
+  readonly limits: ServerLimits;
+  readonly versions: VersionHistory;
+}
+
+/**
+ * Creates what builds and applies the part of heartbeats on dispatchers, prompts and backend servers.
+ *
+ * @param sources - the state of this host
+ * @returns the options of the fleet
+ * @internal
+ */
+export function createHeartbeatContent({
+  waits,
+  backends,
+  crashes,
+  limits,
+  versions,
+}: HeartbeatSources): Pick<FleetOptions, 'buildLoad' | 'onHeartbeat'> {
+  return {
+    buildLoad: () => ({
+      waits: waits.listReported(),
+      pending: backends.listPending(),
+      suspects: crashes.listReports(),
+      limits: limits.listReports(),
+      versions: versions.buildReport(),
+    }),
+    onHeartbeat(heartbeat, from) {
+      for (const reported of heartbeat.waits) waits.record(reported);
+      crashes.applyReports(heartbeat.suspects, `host ${from}`);
+      limits.applyReports(heartbeat.limits, `host ${from}`);
+      if (heartbeat.versions !== undefined) versions.applyReport(heartbeat.versions);
+    },
+  };
+}
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -12,7 +12,6 @@
 } from '@endiveferry/base';
 import { createAnnouncer } from '@endiveferry/peers';
 import {
-  createBackends,
   createConfigurationTracker,
   createFleet,
   createRelayMetrics,
@@ -31,10 +30,12 @@
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
 import { createDispatchers } from './createDispatchers.js';
+import { createHeartbeatContent } from './createHeartbeatContent.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createMetricsListener } from './createMetricsListener.js';
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
+import { createServerAccess } from './createServerAccess.js';
 import { createStageWaits } from './createStageWaits.js';
 import { createStoreListener } from './createStoreListener.js';
 import { createStreamTracking } from './createStreamTracking.js';
@@ -103,7 +104,16 @@
   let isRejecting = false;
 
   const countHosts = () => fleet.countHosts();
-  const backends = createBackends({ clock, random, logger, countHosts });
+  const findFleet = () => fleet;
+  const servers = createServerList(clock, logger, applyServers);
+  const { backends, paths, tunnels } = createServerAccess({
+    clock,
+    random,
+    logger,
+    servers,
+    findFleet,
+    isStopping: () => isStopping,
+  });
   const configurationTracker = createConfigurationTracker({
     dualClock,
     logger,
@@ -115,7 +125,6 @@
     },
   });
   const epochs = createStoreEpochs(clock, logger);
-  const servers = createServerList(clock, logger, applyServers);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
   const announceSoon = createAnnouncer(clock, () => fleet.announce());
@@ -137,7 +146,6 @@
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
     estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
   });
-  const findFleet = () => fleet;
   const waits = createStageWaits({
     clock,
     findDispatcher: dispatchers.find,
@@ -185,7 +193,7 @@
   });
   const isReady = () =>
     !isStopping && configurationTracker.current() !== undefined && servers.position().revision > 0;
-  registerRelayGauges(metrics, { crashes, limits, configurationTracker, epochs });
+  registerRelayGauges(metrics, { crashes, limits, configurationTracker, epochs, paths, tunnels });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
 
@@ -217,20 +225,10 @@
     configurationTracker,
     servers,
     isStopping: () => isStopping,
-    buildLoad: () => ({
-      waits: waits.listReported(),
-      pending: backends.listPending(),
-      suspects: crashes.listReports(),
-      limits: limits.listReports(),
-      versions: streams.versions.buildReport(),
-    }),
+    isCutOff: paths.isCutOff,
+    acceptTunnel: tunnels.accept,
+    ...createHeartbeatContent({ waits, backends, crashes, limits, versions: streams.versions }),
     listStagePools: dispatchers.listPools,
-    onHeartbeat(heartbeat, from) {
-      for (const reported of heartbeat.waits) waits.record(reported);
-      crashes.applyReports(heartbeat.suspects, `host ${from}`);
-      limits.applyReports(heartbeat.limits, `host ${from}`);
-      if (heartbeat.versions !== undefined) streams.versions.applyReport(heartbeat.versions);
-    },
     handleRequest: (from, kind, body, signal) =>
       stages.handleRequest(from, kind, body, signal) ?? streams.origins.handleRequest(kind, body),
   });
--- a/apps/daemon/src/lib/relay/registerRelayGauges.ts
+++ b/apps/daemon/src/lib/relay/registerRelayGauges.ts
@@ -1,5 +1,5 @@
 import type { ServerLimits } from '@endiveferry/admission';
-import type { ConfigurationTracker, StoreEpochs } from '@endiveferry/relay';
+import type { ConfigurationTracker, ServerPaths, StoreEpochs, Tunnels } from '@endiveferry/relay';
 import type { CrashTracker } from '@endiveferry/routing';
 import type { Metrics } from '@endiveferry/telemetry';
 
@@ -9,6 +9,8 @@
   readonly limits: Pick<ServerLimits, 'countLimited'>;
   readonly configurationTracker: Pick<ConfigurationTracker, 'version' | 'confirmedAgeMs'>;
   readonly epochs: Pick<StoreEpochs, 'current'>;
+  readonly paths: Pick<ServerPaths, 'countCut'>;
+  readonly tunnels: Pick<Tunnels, 'countCarried'>;
 }
 
 /**
@@ -20,7 +22,7 @@
  */
 export function registerRelayGauges(
   metrics: Pick<Metrics, 'registerGauge'>,
-  { crashes, limits, configurationTracker, epochs }: RelayGaugeSources,
+  { crashes, limits, configurationTracker, epochs, paths, tunnels }: RelayGaugeSources,
 ): void {
   metrics.registerGauge(
     'endiveferry_blocked_parts',
@@ -37,6 +39,16 @@
     'latest epoch of the store; it rises when the store returns from a copy',
     () => [{ labels: {}, value: epochs.current() }],
   );
+  metrics.registerGauge(
+    'endiveferry_cut_servers',
+    'backend servers that this host reaches through other hosts only',
+    () => [{ labels: {}, value: paths.countCut() }],
+  );
+  metrics.registerGauge(
+    'endiveferry_carried_connections',
+    'connections to backend servers that this host carries for others',
+    () => [{ labels: {}, value: tunnels.countCarried() }],
+  );
   metrics.registerGauge('endiveferry_configuration_version', 'version in force', () => [
     { labels: {}, value: configurationTracker.version() },
   ]);
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -8,9 +8,14 @@
   type PeerFailure,
 } from './lib/createPeerConnection.js';
 export type { LinkState } from './lib/createLinkStateMachine.js';
-export type { HandleHostRequest } from './lib/startPeerListener.js';
+export type { AcceptTunnel, HandleHostRequest } from './lib/startPeerListener.js';
 export { createPeerNetwork } from './lib/createPeerNetwork.js';
-export type { LinkStatus, PeerNetwork, PeerNetworkOptions } from './lib/PeerNetwork.js';
+export type {
+  LinkStatus,
+  PeerNetwork,
+  PeerNetworkOptions,
+  TunnelReply,
+} from './lib/PeerNetwork.js';
 export {
   heartbeatCodec,
   heartbeatSchema,
--- a/packages/peers/src/lib/PeerNetwork.ts
+++ b/packages/peers/src/lib/PeerNetwork.ts
@@ -3,10 +3,10 @@
 import type { Result } from 'neverthrow';
 
 import type { LinkState } from './createLinkStateMachine.js';
-import type { PeerFailure } from './createPeerConnection.js';
+import type { PeerConnection, PeerFailure } from './createPeerConnection.js';
 import type { HeartbeatCodec, PeerRequestKind } from './messages.js';
 import type { TlsKeys } from './openPeerSocket.js';
-import type { HandleHostRequest } from './startPeerListener.js';
+import type { AcceptTunnel, HandleHostRequest } from './startPeerListener.js';
 
 /**
  * Status of a link, as shown to operators.
@@ -64,6 +64,14 @@
   ) => void;
   /** Handles the requests of other hosts other than `hello`, `ping` and `heartbeat`. */
   readonly handleRequest: HandleHostRequest;
+  /** Answers requests for tunnels; undefined rejects them. */
+  readonly acceptTunnel?: AcceptTunnel;
+}
+
+/** The reply to a request for a tunnel. @public */
+export interface TunnelReply {
+  readonly reply: unknown;
+  readonly connection: Pick<PeerConnection, 'detach' | 'destroy'>;
 }
 
 /**
@@ -83,6 +91,13 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerFailure>>;
+  /**
+   * Asks another host for a tunnel, over a connection of its own.
+   *
+   * @returns the reply, and the connection that carries the tunnel if the reply says that it is open
+   * @throws Error when the host sends no reply
+   */
+  openTunnel(hostId: HostId, body: unknown, timeoutMs: number): Promise<TunnelReply>;
   /** Closes and reopens all links, because they may be broken after a stall of this process. */
   renewLinks(): void;
   /** Sends heartbeats on all links at once, because the state of this host changed. */
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -49,6 +49,11 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerFailure>>;
+  /**
+   * Ends the exchange of messages and returns the socket, paused, for bytes of another protocol. No
+   * request may be pending.
+   */
+  detach(): Socket;
   /** Returns whether requests can be sent. */
   readonly isOpen: () => boolean;
   /** Closes the connection once the pending requests have ended. */
@@ -166,14 +171,15 @@
 
   const readFrames = createFrameReader(handleFrame);
   socket.setNoDelay(true);
-  socket.on('data', (chunk: Buffer) => {
+  const receive = (chunk: Buffer) => {
     keepalive?.recordReceived();
     try {
       if (!readFrames(chunk)) socket.destroy(new Error('received an oversized message'));
     } catch (error) {
       socket.destroy(new Error(`received invalid CBOR: ${describeError(error)}`));
     }
-  });
+  };
+  socket.on('data', receive);
   const closed = new Promise<void>((resolve) => {
     socket.on('error', () => undefined);
     socket.on('close', () => {
@@ -207,6 +213,12 @@
         send({ type: 'request', id, kind, body });
       });
     },
+    detach() {
+      keepalive?.stop();
+      socket.off('data', receive);
+      socket.pause();
+      return socket;
+    },
     isOpen: () => socket.writable,
     closeWhenIdle() {
       isClosing = true;
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -195,6 +195,13 @@
         return err({ kind: 'not-sent', detail: describeError(error) });
       }
     },
+    async openTunnel(hostId, body, timeoutMs) {
+      const connection = await openConnection(hostId);
+      const reply = await connection.request('open-tunnel', body, timeoutMs);
+      if (reply.isOk()) return { reply: reply.value, connection };
+      connection.destroy();
+      throw new Error(reply.error.detail);
+    },
     renewLinks() {
       for (const link of links.values()) link.connection?.destroy();
     },
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -24,7 +24,8 @@
   | 'inputs-fetched'
   | 'free-results'
   | 'record-streams'
-  | 'find-stream';
+  | 'find-stream'
+  | 'open-tunnel';
 
 const requestKindSchema = z.enum([
   'hello',
@@ -41,6 +42,7 @@
   'free-results',
   'record-streams',
   'find-stream',
+  'open-tunnel',
 ]) satisfies z.ZodType<PeerRequestKind>;
 
 /** Schema of messages on a connection between hosts. @internal */
--- a/packages/peers/src/lib/startPeerListener.ts
+++ b/packages/peers/src/lib/startPeerListener.ts
@@ -22,6 +22,17 @@
   signal: AbortSignal,
 ) => Promise<unknown>;
 
+/**
+ * Answers a request of a host for a tunnel. If `attach` is set, the tunnel is open: it is called with
+ * the socket of the connection, which then carries the bytes of the tunnel.
+ *
+ * @public
+ */
+export type AcceptTunnel = (
+  hostId: HostId,
+  body: unknown,
+) => Promise<{ readonly reply: unknown; readonly attach?: (socket: Socket) => void }>;
+
 /**
  * Options of the listener for connections of other hosts.
  *
@@ -38,6 +49,7 @@
   /** Returns whether a host is on the published host list. */
   readonly isListed: (hostId: HostId) => boolean;
   readonly handleRequest: HandleHostRequest;
+  readonly acceptTunnel?: AcceptTunnel;
 }
 
 /**
@@ -69,7 +81,16 @@
 
 function handleSocket(socket: Socket, options: PeerListenerOptions): PeerConnection {
   let hostId: HostId | undefined;
-  return createPeerConnection(socket, options.clock, (kind, body, signal) => {
+
+  async function acceptTunnel(from: HostId, body: unknown): Promise<unknown> {
+    if (options.acceptTunnel === undefined) throw new PeerRejectedError('tunnels are not accepted');
+    const { reply, attach } = await options.acceptTunnel(from, body);
+    // The reply is the last message on the connection, and is written before.
+    if (attach !== undefined) setImmediate(() => attach(connection.detach()));
+    return reply;
+  }
+
+  const connection = createPeerConnection(socket, options.clock, (kind, body, signal) => {
     if (kind === 'hello') {
       hostId = checkHello(socket, body, options);
       return Promise.resolve({ processId: options.processId });
@@ -77,8 +98,10 @@
     if (hostId === undefined) throw new PeerRejectedError('the first request must be a hello');
     // The host may have been removed from the list since its hello.
     if (!options.isListed(hostId)) throw new PeerRejectedError(`${hostId} is not on the list`);
+    if (kind === 'open-tunnel') return acceptTunnel(hostId, body);
     return options.handleRequest(hostId, kind, body, signal);
   });
+  return connection;
 }
 
 function createPeerServer(
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -21,6 +21,9 @@
   type RelayService,
   type RelayServiceOptions,
 } from './lib/createRelayService.js';
+export { connectSocket } from './lib/connectSocket.js';
+export { createServerPaths, type ServerPaths } from './lib/createServerPaths.js';
+export { createTunnels, type Tunnels, type TunnelsOptions } from './lib/createTunnels.js';
 export { createServerList, type ServerList } from './lib/createServerList.js';
 export { createStageClient, type StageClient } from './lib/createStageClient.js';
 export {
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -8,6 +8,7 @@
 } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { createSocketOpener, type ServerPaths } from './createServerPaths.js';
 import type { ReportedLoad } from './ports.js';
 import type { ListedServer, RelayPool } from './RelayConfiguration.js';
 
@@ -79,8 +80,8 @@
   listPool(poolId: PoolId): readonly Backend[];
   /** Lists the numbers of unread prompt tokens of this host's calls, for servers with any. */
   readonly listPending: () => { readonly serverId: BackendServerId; readonly tokens: number }[];
-  /** Replaces all connections, after an event loop stall. */
-  renewConnections(): void;
+  /** Replaces the connections to one address, or all, because they may be dead. */
+  renewConnections(address?: string): void;
   close(): Promise<void>;
 }
 
@@ -90,6 +91,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly countHosts: () => number;
+  readonly paths: Pick<ServerPaths, 'openSocket' | 'startCall'>;
 }
 
 /** A server that starts again under its id may have another address and software version. */
@@ -125,6 +127,7 @@
     const connections = createServerConnections(server.address, {
       maxConnections: computeMaxConnections(),
       budget,
+      openSocket: createSocketOpener(options.paths, server.address),
       ...(pool === undefined ? {} : { probePath: pool.healthPath }),
     });
     const health = createServerHealth(clock, random, (state) =>
@@ -168,6 +171,7 @@
         const startedAt = clock.now();
         const ahead = pendingTokens + promptTokens;
         let unread = promptTokens;
+        const endWait = options.paths.startCall(server.address);
         running += 1;
         pendingTokens += promptTokens;
         const releaseUnread = () => {
@@ -185,6 +189,7 @@
           },
           end() {
             running -= 1;
+            endWait();
             releaseUnread();
           },
         };
@@ -228,8 +233,9 @@
         const tokens = backend.pendingTokens();
         return tokens > 0 ? [{ serverId, tokens }] : [];
       }),
-    renewConnections() {
-      for (const { connections } of backends.values()) connections.renew();
+    renewConnections(address) {
+      for (const { server, connections } of backends.values())
+        if (address === undefined || address === server.address) connections.renew();
     },
     async close() {
       await Promise.all([...backends.values()].map(({ connections }) => connections.close()));
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -15,6 +15,7 @@
   choosePeers,
   isFullyLinked,
   createPeerNetwork,
+  type AcceptTunnel,
   type HandleHostRequest,
   type PeerNetwork,
 } from '@endiveferry/peers';
@@ -23,7 +24,7 @@
 
 import { computeHostWeight } from './computeHostWeight.js';
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
-import { createMembership } from './createMembership.js';
+import { createMembership, type Membership } from './createMembership.js';
 import { createPeerReader } from './createPeerReader.js';
 import type { ServerList } from './createServerList.js';
 import type { DualClock } from './createDualClock.js';
@@ -68,6 +69,8 @@
   /** Returns the other hosts that hold the record of a request's stream. */
   listRecordHolders(requestId: RequestId): readonly HostId[];
   readonly request: PeerNetwork<RelayHeartbeat>['request'];
+  readonly openTunnel: PeerNetwork<RelayHeartbeat>['openTunnel'];
+  readonly listCarriers: Membership['listCarriers'];
   /** Returns the last heartbeats of live hosts. */
   readonly listHeartbeats: () => readonly RelayHeartbeat[];
   /** Updates the links and sends a heartbeat immediately, after a change of local state. */
@@ -94,6 +97,8 @@
   readonly configurationTracker: ConfigurationTracker;
   readonly servers: ServerList;
   readonly isStopping: () => boolean;
+  readonly isCutOff: () => boolean;
+  readonly acceptTunnel: AcceptTunnel;
   /** Builds the part of a heartbeat on dispatchers, on prompts, and on backend servers. */
   readonly buildLoad: () => Pick<
     RelayHeartbeat,
@@ -141,6 +146,7 @@
       processId: options.processId,
       availabilityZone: environment.availabilityZone,
       isStopping: options.isStopping(),
+      isCutOff: options.isCutOff(),
       weight,
       version: configurationTracker.version(),
       ...(Number.isFinite(confirmedAgeMs) ? { confirmedAgeMs } : {}),
@@ -259,6 +265,7 @@
     codec: relayHeartbeatCodec,
     getHeartbeatIntervalMs: members.findIntervalMs,
     keepaliveTimeoutMs: KEEPALIVE_TIMEOUT_MS,
+    acceptTunnel: options.acceptTunnel,
     buildHeartbeat,
     onHeartbeat: receiveHeartbeat,
     handleRequest: (from, kind, body, signal) =>
@@ -280,6 +287,8 @@
         : computeRendezvousOrder(requestId, others).slice(0, RECORD_HOLDERS);
     },
     request: (...args) => network.request(...args),
+    openTunnel: (...args) => network.openTunnel(...args),
+    listCarriers: members.listCarriers,
     listHeartbeats: members.listHeartbeats,
     announce() {
       updatePeers();
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -24,6 +24,7 @@
   processId: processIdSchema.parse('process'),
   availabilityZone: availabilityZoneIdSchema.parse('zone'),
   isStopping,
+  isCutOff: false,
   weight: 1,
   version: 1,
   serversEpoch: 1,
--- a/packages/relay/src/lib/createMembership.ts
+++ b/packages/relay/src/lib/createMembership.ts
@@ -37,6 +37,8 @@
   readonly countKnown: () => number;
   /** Returns the other hosts that accept work, with their weights. */
   readonly listLive: () => ReadonlyMap<HostId, number>;
+  /** Returns the live hosts that reach most backend servers, as far as they have reported. */
+  readonly listCarriers: () => readonly HostId[];
   /** Returns the last heartbeats of the live hosts that have sent one to this host. */
   readonly listHeartbeats: () => readonly RelayHeartbeat[];
   /** Returns the hosts to report in the next heartbeat. */
@@ -152,6 +154,10 @@
           isLive(id, host) && !host.isStopping ? [[id, host.weight] as const] : [],
         ),
       ),
+    listCarriers: () =>
+      [...known].flatMap(([id, host]) =>
+        isLive(id, host) && !host.isStopping && host.heartbeat?.isCutOff !== true ? [id] : [],
+      ),
     listHeartbeats: () =>
       [...known].flatMap(([id, host]) =>
         isLive(id, host) && host.heartbeat !== undefined ? [host.heartbeat] : [],
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -39,6 +39,8 @@
   availabilityZone: availabilityZoneIdSchema,
   /** Accepts no new work, and completes what it has. */
   isStopping: z.boolean(),
+  /** Reaches most backend servers through other hosts only. */
+  isCutOff: z.boolean().default(false),
   /** Relative weight of the host in the choice of dispatchers. */
   weight: z.number().positive(),
   /** Version of the configuration in force; 0 when none is known. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,6 +16,7 @@
 export {
   createServerConnections,
   type ConnectionOptions,
+  type OpenServerSocket,
   type ServerConnections,
 } from './lib/createServerConnections.js';
 export { createServerHealth, type ServerHealth } from './lib/createServerHealth.js';
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,3 +1,5 @@
+import type { Socket } from 'node:net';
+
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 
 import { createResponseBudget, type ResponseBudget } from './createResponseBudget.js';
@@ -28,26 +30,42 @@
   close(): Promise<void>;
 }
 
+/** Opens a socket to a server, given how to connect to it directly. @public */
+export type OpenServerSocket = (connectDirectly: () => Promise<Socket>) => Promise<Socket>;
+
 /** Creates a connector whose sockets are watched for errors from the start. */
-function createConnector({ watch }: SocketMonitor): buildConnector.connector {
+function createConnector(
+  { watch }: SocketMonitor,
+  openSocket: OpenServerSocket,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  return (options, callback) => {
-    connect(options, (...result) => {
-      if (result[0] === null) watch(result[1]);
-      callback(...result);
+  const connectDirectly = (options: buildConnector.Options) =>
+    new Promise<Socket>((resolve, reject) => {
+      connect(options, (error, socket) => {
+        if (error === null) resolve(socket);
+        else reject(error);
+      });
     });
+  return (options, callback) => {
+    openSocket(() => connectDirectly(options)).then(
+      (socket) => {
+        watch(socket);
+        callback(null, socket);
+      },
+      (error: unknown) => callback(error instanceof Error ? error : new Error(String(error)), null),
+    );
   };
 }
 
 function createDispatcher(
   address: string,
   connections: number | null,
-  monitor: SocketMonitor,
+  connector: buildConnector.connector,
 ): Pool {
   return new Pool(`http://${address}`, {
     connections,
     pipelining: 1,
-    connect: createConnector(monitor),
+    connect: connector,
     keepAliveTimeout: IDLE_TIMEOUT_MS,
     // Calls are limited by their deadlines; a second timeout here could only contradict them.
     headersTimeout: 0,
@@ -73,6 +91,8 @@
   readonly maxConnections?: number | null;
   /** Memory for responses, shared with the connections to other servers. */
   readonly budget?: ResponseBudget;
+  /** Opens the sockets of all connections; directly by default. */
+  readonly openSocket?: OpenServerSocket;
   /** Path that responds while the server is alive. */
   readonly probePath?: string;
 }
@@ -93,10 +113,11 @@
   const budget = options.budget ?? createResponseBudget(DEFAULT_BUDGET_BYTES);
   const monitor = createSocketMonitor();
   const environment = { monitor, budget };
-  let shared = createDispatcher(address, maxConnections, monitor);
+  const connector = createConnector(monitor, options.openSocket ?? ((connect) => connect()));
+  let shared = createDispatcher(address, maxConnections, connector);
 
   async function sendOnNewConnection(call: Call): Promise<CallResult> {
-    const dispatcher = createDispatcher(address, 1, monitor);
+    const dispatcher = createDispatcher(address, 1, connector);
     try {
       return await sendCall(dispatcher, call, environment);
     } finally {
@@ -120,7 +141,7 @@
     },
     renew() {
       const old = shared;
-      shared = createDispatcher(address, maxConnections, monitor);
+      shared = createDispatcher(address, maxConnections, connector);
       void closeQuietly(old);
     },
     close: () => closeQuietly(shared),
