Check one path first when no server responds, and carry no connections to leaving servers

A pause in which no server sends anything is common with few streams, and each check opened up to three connections; now one, and two more only if it fails. A host that knows that a server leaves opens no connection to it for another host, whose list may be older.

--- a/apps/daemon/src/lib/relay/createServerAccess.ts
+++ b/apps/daemon/src/lib/relay/createServerAccess.ts
@@ -43,7 +43,8 @@
     random,
     logger,
     findFleet,
-    isListed: (address) => listAddresses().includes(address),
+    isListed: (address) =>
+      servers.list().some((server) => server.address === address && !server.isLeaving),
     mayCarry: (address) => !isStopping() && !paths.isCut(address),
   });
   const paths: ServerPaths = createServerPaths({
--- a/packages/relay/src/lib/createServerPaths.ts
+++ b/packages/relay/src/lib/createServerPaths.ts
@@ -192,8 +192,10 @@
    */
   async function checkPaths(silent: readonly string[]): Promise<boolean> {
     const addresses = silent.filter((address) => !cut.has(address)).slice(0, MAX_CHECKED_SERVERS);
-    if (addresses.length === 0) return true;
-    const reached = await Promise.all(addresses.map(canConnect));
+    const [first, ...others] = addresses;
+    // Mostly all is well, so one connection has to do.
+    if (first === undefined || (await canConnect(first))) return true;
+    const reached = await Promise.all(others.map(canConnect));
     if (reached.includes(true)) return true;
     const tunnels = addresses.map(async (address) => (await openTunnel(address)).destroy());
     const isReachedByOthers = await Promise.any(tunnels).then(
--- a/packages/relay/src/lib/createTunnels.ts
+++ b/packages/relay/src/lib/createTunnels.ts
@@ -47,7 +47,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly findFleet: () => Pick<Fleet, 'listCarriers' | 'openTunnel'>;
-  /** Whether an address is that of a listed server. */
+  /** Whether an address is that of a listed server that takes new requests. */
   readonly isListed: (address: string) => boolean;
   /** Whether this host carries tunnels to a server. */
   readonly mayCarry: (address: string) => boolean;
