--- a/tools/run-soak.mjs
+++ b/tools/run-soak.mjs
@@ -16,6 +16,7 @@
   'packages/relay/dist/lib/createConfigurationTracker.test.js',
   'packages/relay/dist/lib/crashReports.test.js',
   'packages/relay/dist/lib/limitReports.test.js',
+  'packages/relay/dist/lib/streams/streamOrigins.test.js',
   'packages/relay/dist/lib/pieces/dispatcherInvariants.test.js',
 ];
 // fast-check prints the seed, the path and the shrunk counterexample of each failure.
