--- a/packages/relay/src/lib/streams/createStreamOrigins.ts
+++ b/packages/relay/src/lib/streams/createStreamOrigins.ts
@@ -67,7 +67,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly history: VersionHistory;
-  readonly findFleet: () => Pick<Fleet, 'hostId' | 'request' | 'listRecordHolders'>;
+  readonly findFleet: () => Pick<Fleet, 'request' | 'listRecordHolders'>;
   /** Whether a server of the pool and version takes requests. */
   readonly isServed: (origin: StreamOrigin) => boolean;
 }
--- a/packages/relay/src/lib/streams/streamOrigins.test.ts
+++ b/packages/relay/src/lib/streams/streamOrigins.test.ts
@@ -95,7 +95,7 @@
       history,
       isServed: ({ softwareVersion }) =>
         findHost(id).listed.some((server) => server.softwareVersion === softwareVersion),
-      findFleet: () => ({ hostId: id, request: createRequest(), listRecordHolders }),
+      findFleet: () => ({ request: createRequest(), listRecordHolders }),
     });
     const listRecordHolders: Fleet['listRecordHolders'] = (requestId) => {
       const others = ids.filter((other) => other !== id);
