Send records of streams only to hosts that understand them

A host of an earlier build closes the connection on which it receives a kind of request that it does not know, so a fleet in the middle of an upgrade would have lost its links with each stream while several software versions serve. Found by reading. Heartbeats show whether a host tracks versions; the test covers the choice.

--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -1,5 +1,4 @@
 import {
-  computeRendezvousOrder,
   computeWeightedOrder,
   createRandom,
   hostIdSchema,
@@ -7,13 +6,11 @@
   type HostId,
   type PoolId,
   type ProcessId,
-  type RequestId,
   type Random,
   type Supervisor,
 } from '@endiveferry/base';
 import {
   choosePeers,
-  isFullyLinked,
   createPeerNetwork,
   type AcceptTunnel,
   type HandleHostRequest,
@@ -42,9 +39,6 @@
 /** Time for which an order of dispatchers is cached, in milliseconds: each decision reads it. */
 const ORDER_CACHE_MS = 50;
 
-/** Hosts that hold the record of a stream in a fleet that is not fully linked. */
-const RECORD_HOLDERS = 3;
-
 /** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
 export type HandleFleetRequest = (
   ...request: Parameters<HandleHostRequest>
@@ -66,8 +60,7 @@
   readonly isDispatcher: (poolId: PoolId) => boolean;
   /** Returns the number of known hosts, including this one and those that stopped seconds ago. */
   readonly countHosts: () => number;
-  /** Returns the other hosts that hold the record of a request's stream. */
-  listRecordHolders(requestId: RequestId): readonly HostId[];
+  readonly listRecordHolders: Membership['listRecordHolders'];
   readonly request: PeerNetwork<RelayHeartbeat>['request'];
   readonly openTunnel: PeerNetwork<RelayHeartbeat>['openTunnel'];
   readonly listCarriers: Membership['listCarriers'];
@@ -280,12 +273,7 @@
     listDispatchers,
     isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
     countHosts: () => 1 + members.countKnown(),
-    listRecordHolders(requestId) {
-      const others = members.listKnown();
-      return isFullyLinked(others.length + 1)
-        ? others
-        : computeRendezvousOrder(requestId, others).slice(0, RECORD_HOLDERS);
-    },
+    listRecordHolders: members.listRecordHolders,
     request: (...args) => network.request(...args),
     openTunnel: (...args) => network.openTunnel(...args),
     listCarriers: members.listCarriers,
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -7,6 +7,7 @@
   createRandom,
   hostIdSchema,
   processIdSchema,
+  requestIdSchema,
   type HostId,
 } from '@endiveferry/base';
 import { createLogger, setLogWriter } from '@endiveferry/telemetry';
@@ -97,3 +98,18 @@
   }
   assert.equal(reported.size, 90);
 });
+
+test('hosts of earlier builds get no records of streams, others get those of their share', () => {
+  const { members } = createHarness([linked, distant]);
+  const versions = { knownMs: 1_000, versions: [] };
+  members.recordHeartbeat(linked, createHeartbeat());
+  members.recordHeartbeat(distant, { ...createHeartbeat(), versions });
+  assert.deepEqual(members.listRecordHolders(requestIdSchema.parse('r1')), [distant]);
+  for (let index = 0; index < 20; index += 1) {
+    const id = hostIdSchema.parse(`10.0.1.${index}`);
+    members.recordHeartbeat(id, { ...createHeartbeat(), versions });
+  }
+  const holders = ['r1', 'r2'].map((id) => members.listRecordHolders(requestIdSchema.parse(id)));
+  assert.ok(holders.every((ids) => ids.length >= 2 && ids.length <= 3));
+  assert.notDeepEqual(holders[0], holders[1]);
+});
--- a/packages/relay/src/lib/createMembership.ts
+++ b/packages/relay/src/lib/createMembership.ts
@@ -1,4 +1,10 @@
-import type { Clock, HostId, Random } from '@endiveferry/base';
+import {
+  computeRendezvousOrder,
+  type Clock,
+  type HostId,
+  type Random,
+  type RequestId,
+} from '@endiveferry/base';
 import { isFullyLinked } from '@endiveferry/peers';
 import type { Logger } from '@endiveferry/telemetry';
 
@@ -20,6 +26,8 @@
 const INDIRECT_LIVE_MS = 5_000;
 /** A host whose heartbeat no host has received for this long, in milliseconds, is removed. */
 const EXPIRY_MS = 10_000;
+/** Hosts that hold the record of a stream in a fleet that is not fully linked. */
+const RECORD_HOLDERS = 3;
 /** Hosts listed in one heartbeat; a larger fleet is listed in varying sections. */
 const MAX_REPORTED_HOSTS = 16;
 
@@ -39,6 +47,8 @@
   readonly listLive: () => ReadonlyMap<HostId, number>;
   /** Returns the live hosts that reach most backend servers, as far as they have reported. */
   readonly listCarriers: () => readonly HostId[];
+  /** Returns the other hosts that hold the record of a request's stream. */
+  readonly listRecordHolders: (requestId: RequestId) => readonly HostId[];
   /** Returns the last heartbeats of the live hosts that have sent one to this host. */
   readonly listHeartbeats: () => readonly RelayHeartbeat[];
   /** Returns the hosts to report in the next heartbeat. */
@@ -158,6 +168,17 @@
       [...known].flatMap(([id, host]) =>
         isLive(id, host) && !host.isStopping && host.heartbeat?.isCutOff !== true ? [id] : [],
       ),
+    listRecordHolders(requestId) {
+      const others = [...known.keys()];
+      const holders = isFullyLinked(others.length + 1)
+        ? others
+        : computeRendezvousOrder(requestId, others).slice(0, RECORD_HOLDERS);
+      // Hosts of earlier builds close a connection on which they receive records.
+      return holders.filter((id) => {
+        const heartbeat = known.get(id)?.heartbeat;
+        return heartbeat === undefined || heartbeat.versions !== undefined;
+      });
+    },
     listHeartbeats: () =>
       [...known].flatMap(([id, host]) =>
         isLive(id, host) && host.heartbeat !== undefined ? [host.heartbeat] : [],
