Forget servers that were gone, and merge twin code of retry delays and socket openers

Found by reading the whole change again; behaviour stays, no test was changed. - The times at which servers that no host reached are sought again were never dropped, so addresses of ended servers gathered for the life of a process. Expired ones now go when one is added. - addRetryDelay had a second set of reasons beside the one for permanent rejections. One set serves both: the rejections of blocked requests and parts never carry a retry delay. - createSocketOpener only passed its arguments on; its one caller now does. Before and after: 82 tests of relay decisions, crashing requests, stream versions and lost paths pass.

--- a/packages/relay/src/lib/addRetryDelay.ts
+++ b/packages/relay/src/lib/addRetryDelay.ts
@@ -5,11 +5,12 @@
 /** Largest jitter, as a share of the retry delay. */
 const JITTER_SHARE = 1;
 
-/** Reasons for which a request is rejected again when it is retried. */
-const PERMANENT_REASONS: ReadonlySet<FailureReason> = new Set(['part-blocked', 'request-blocked']);
-
-/** Reasons for which a retry is of use only if the failure says when. */
-const FINAL_REASONS: ReadonlySet<FailureReason> = new Set(['cannot-resume']);
+/** Reasons for which a request is rejected again when it is retried, unless the failure says when. */
+const PERMANENT_REASONS: ReadonlySet<FailureReason> = new Set([
+  'part-blocked',
+  'request-blocked',
+  'cannot-resume',
+]);
 
 /**
  * Sets the retry delay of a failed request that did not run, with jitter, so that callers that were
@@ -22,9 +23,8 @@
  * @public
  */
 export function addRetryDelay(failure: Failure, random: Random): Failure {
-  const isPermanent = PERMANENT_REASONS.has(failure.reason);
-  const isFinal = FINAL_REASONS.has(failure.reason) && failure.retryAfterMs === undefined;
-  if (isPermanent || isFinal || failure.execution !== 'not-run') return failure;
+  const isPermanent = PERMANENT_REASONS.has(failure.reason) && failure.retryAfterMs === undefined;
+  if (isPermanent || failure.execution !== 'not-run') return failure;
   const baseMs = failure.retryAfterMs ?? DEFAULT_RETRY_DELAY_MS;
   return { ...failure, retryAfterMs: baseMs * (1 + random.nextFraction() * JITTER_SHARE) };
 }
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -8,7 +8,7 @@
 } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
-import { createSocketOpener, type ServerPaths } from './createServerPaths.js';
+import type { ServerPaths } from './createServerPaths.js';
 import type { ReportedLoad } from './ports.js';
 import type { ListedServer, RelayPool } from './RelayConfiguration.js';
 
@@ -127,7 +127,7 @@
     const connections = createServerConnections(server.address, {
       maxConnections: computeMaxConnections(),
       budget,
-      openSocket: createSocketOpener(options.paths, server.address),
+      openSocket: (connectDirectly) => options.paths.openSocket(server.address, connectDirectly),
       ...(pool === undefined ? {} : { probePath: pool.healthPath }),
     });
     const health = createServerHealth(clock, random, (state) =>
--- a/packages/relay/src/lib/createServerPaths.ts
+++ b/packages/relay/src/lib/createServerPaths.ts
@@ -1,7 +1,6 @@
 import type { Socket } from 'node:net';
 
 import { describeError, type Clock, type Random } from '@endiveferry/base';
-import type { OpenServerSocket } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
 import { createSilenceMonitor } from './createSilenceMonitor.js';
@@ -116,6 +115,7 @@
       goneUntil.delete(address);
       return socket;
     } catch (error) {
+      for (const [gone, until] of goneUntil) if (clock.now() >= until) goneUntil.delete(gone);
       goneUntil.set(address, clock.now() + GONE_MS);
       throw error;
     }
@@ -230,16 +230,3 @@
     countCut: () => cut.size,
   };
 }
-
-/**
- * Returns how one server's sockets are opened.
- *
- * @param paths - the decisions of this host
- * @param address - address of the server
- * @returns what opens the sockets
- * @internal
- */
-export const createSocketOpener =
-  (paths: Pick<ServerPaths, 'openSocket'>, address: string): OpenServerSocket =>
-  (connectDirectly) =>
-    paths.openSocket(address, connectDirectly);
