Log which backend servers say that they leave, and headers that cannot be read

Callers saw requests of theirs sent to a server that leaves (DRAIN); neither logs nor metrics told when a host had been told, by which server and in the response to which request.

Responses are parsed for the header, entries of servers for the time of their start (which tells a server that started again under its id). What a server says of itself in its responses is applied in one place, createServerSignals, for requests, streams and stage calls. A 421, which may come from another server at the address, is ignored there; before, one that was also a rejection ended the limit of the server that was expected.

Nothing acts on it yet. Values of unknown form are logged once until they change.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -10,6 +10,7 @@
   type ListedServer,
   type RelayMetrics,
   type RelayPool,
+  type ServerSignals,
   type WireProtocol,
 } from '@endiveferry/relay';
 import type { CallResult } from '@endiveferry/routing';
@@ -42,6 +43,7 @@
   readonly protocol: WireProtocol;
   readonly backends: Backends;
   readonly limits: ServerLimits;
+  readonly signals: ServerSignals;
   /** Called when another server responds at the address of a listed one. */
   readonly onServerReplaced: (serverId: BackendServerId) => void;
   /** Takes one retry from the budget of a pool and returns whether the budget allowed it. */
@@ -60,23 +62,28 @@
   const { clock, logger, protocol, backends } = options;
   const dispatchers = new Map<PoolId, PieceDispatcher>();
 
-  function parseResult(serverId: BackendServerId, result: CallResult, count: number): BatchOutcome {
+  function parseResult(
+    server: ListedServer,
+    result: CallResult,
+    pieces: readonly PieceRequest[],
+  ): BatchOutcome {
     if (result.kind !== 'answered') return { kind: 'failed', detail: result.detail };
     const metadata = protocol.parseResponse(result.status, result.headers);
     if (metadata.isMisdirected) return { kind: 'gone' };
     if (result.status === 200 || metadata.isRejection)
-      options.limits.recordAnswer(serverId, metadata.perSecondLimit);
+      options.signals.record(server, metadata, pieces[0]?.requestId);
     if (metadata.isRejection) return { kind: 'full' };
-    const outcomes = protocol.parsePiecesResponse(result.body, count);
+    const outcomes = protocol.parsePiecesResponse(result.body, pieces.length);
     if (result.status === 200 && outcomes !== undefined) return { kind: 'answered', outcomes };
     return { kind: 'failed', detail: `the backend server responded with status ${result.status}` };
   }
 
   async function sendPieces(
-    { serverId }: ListedServer,
+    server: ListedServer,
     pieces: readonly PieceRequest[],
     timeoutMs: number,
   ): Promise<BatchOutcome> {
+    const { serverId } = server;
     const backend = backends.find(serverId);
     if (backend === undefined) return { kind: 'gone' };
     const result = await backend.connections.send({
@@ -84,7 +91,7 @@
       maxResponseBytes: MAX_STAGE_RESPONSE_BYTES,
       signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
     });
-    return parseResult(serverId, result, pieces.length);
+    return parseResult(server, result, pieces);
   }
 
   function sendFree({ serverId }: ListedServer, handles: readonly string[]): void {
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -1,6 +1,5 @@
 import { randomBytes } from 'node:crypto';
 
-import { createServerLimits } from '@endiveferry/admission';
 import {
   createRandom,
   createSupervisor,
@@ -16,7 +15,6 @@
   createFleet,
   createRelayMetrics,
   createRelayService,
-  createServerList,
   createStageClient,
   createStoreEpochs,
   createDualClock,
@@ -36,10 +34,10 @@
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
 import { createServerAccess } from './createServerAccess.js';
+import { createServerStatus } from './createServerStatus.js';
 import { createStageWaits } from './createStageWaits.js';
 import { createStoreListener } from './createStoreListener.js';
 import { createStreamTracking } from './createStreamTracking.js';
-import { listLimitSenders } from './listLimitSenders.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
 import { sumPendingTokens } from './sumPendingTokens.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
@@ -87,6 +85,7 @@
   const random = createRandom(randomBytes(4).readInt32BE(0));
   const processId = processIdSchema.parse(randomBytes(6).toString('hex'));
   const logger = createLogger(hostIdSchema.parse(environment.hostName), 'info');
+  const context = { environment, clock, random, logger };
   const metrics = createMetrics();
   const relayMetrics = createRelayMetrics(metrics);
   const loopDelays = createLoopDelayMonitor({
@@ -105,11 +104,17 @@
 
   const countHosts = () => fleet.countHosts();
   const findFleet = () => fleet;
-  const servers = createServerList(clock, logger, applyServers);
+  const announceSoon = createAnnouncer(clock, () => fleet.announce());
+  const status = createServerStatus({
+    ...context,
+    findFleet,
+    findDispatchers: () => dispatchers,
+    onChange: applyServers,
+    announceSoon,
+  });
+  const { servers, limits, signals } = status;
   const { backends, paths, tunnels } = createServerAccess({
-    clock,
-    random,
-    logger,
+    ...context,
     servers,
     findFleet,
     isStopping: () => isStopping,
@@ -127,14 +132,6 @@
   const epochs = createStoreEpochs(clock, logger);
   const onServerReplaced = (serverId: BackendServerId) =>
     servers.remove(serverId, 'another server responded at its address');
-  const announceSoon = createAnnouncer(clock, () => fleet.announce());
-  const limits = createServerLimits({
-    clock,
-    logger,
-    hostId: hostIdSchema.parse(environment.ip),
-    listHosts: (serverId) => listLimitSenders(servers.find(serverId)?.poolId, fleet, dispatchers),
-    onChange: announceSoon,
-  });
   const dispatchers = createDispatchers({
     clock,
     logger,
@@ -142,6 +139,7 @@
     protocol,
     backends,
     limits,
+    signals,
     onServerReplaced,
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
     estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
@@ -163,10 +161,7 @@
     recordWaits: waits.record,
   });
   const service: RelayService = createRelayService({
-    environment,
-    clock,
-    random,
-    logger,
+    ...context,
     metrics,
     relayMetrics,
     findLoopDelayMs: loopDelays.findRecentMs,
@@ -175,6 +170,7 @@
     backends,
     crashes,
     limits,
+    signals,
     origins: streams.origins,
     stages,
     countHosts,
@@ -193,7 +189,14 @@
   });
   const isReady = () =>
     !isStopping && configurationTracker.current() !== undefined && servers.position().revision > 0;
-  registerRelayGauges(metrics, { crashes, limits, configurationTracker, epochs, paths, tunnels });
+  registerRelayGauges(metrics, {
+    crashes,
+    ...status,
+    configurationTracker,
+    epochs,
+    paths,
+    tunnels,
+  });
   const readiness = createReadinessListener(isReady);
   const metricsListener = createMetricsListener(metrics);
 
@@ -202,7 +205,7 @@
     const pools = configurationTracker.current()?.configuration.pools;
     if (pools === undefined) return;
     backends.update(servers.list(), pools);
-    limits.update(new Set(servers.list().map(({ serverId }) => serverId)));
+    status.update();
     dispatchers.update(pools, servers.list());
   }
 
@@ -214,12 +217,9 @@
   }
 
   const fleet: Fleet = await createFleet({
-    environment,
+    ...context,
     processId,
-    clock,
     dualClock,
-    random,
-    logger,
     supervisor: supervisor.createChild('peers'),
     protocol,
     configurationTracker,
@@ -234,10 +234,8 @@
   });
   const callers = await listener.listen(environment.callersAddress);
   options.startStoreReader({
-    clock,
+    ...context,
     dualClock,
-    random,
-    logger,
     supervisor: supervisor.createChild('store'),
     listener: createStoreListener({
       logger,
--- /dev/null
+++ b/apps/daemon/src/lib/relay/createServerStatus.ts
@@ -0,0 +1,75 @@
+import { createServerLimits, type ServerLimits } from '@endiveferry/admission';
+import { hostIdSchema, type Clock } from '@endiveferry/base';
+import {
+  createLeavingServers,
+  createServerList,
+  createServerSignals,
+  type Fleet,
+  type HostEnvironment,
+  type LeavingServers,
+  type ServerList,
+  type ServerSignals,
+} from '@endiveferry/relay';
+import type { Logger } from '@endiveferry/telemetry';
+
+import type { Dispatchers } from './createDispatchers.js';
+import { listLimitSenders } from './listLimitSenders.js';
+
+/** What this host knows of the backend servers, from the store, their responses and other hosts. @internal */
+export interface ServerStatus {
+  readonly servers: ServerList;
+  readonly leaving: LeavingServers;
+  readonly limits: ServerLimits;
+  readonly signals: ServerSignals;
+  /** Forgets what is known of servers that are not listed any more. */
+  update(): void;
+}
+
+/** Options of {@link createServerStatus}. @internal */
+export interface ServerStatusOptions {
+  readonly environment: Pick<HostEnvironment, 'ip'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly findFleet: () => Pick<Fleet, 'listDispatchers'>;
+  readonly findDispatchers: () => Pick<Dispatchers, 'find'>;
+  /** Called after each change of the list of servers. */
+  readonly onChange: () => void;
+  /** Called when other hosts should hear of a change without delay. */
+  readonly announceSoon: () => void;
+}
+
+/**
+ * Creates the knowledge of a host that has just started.
+ *
+ * @param options - see {@link ServerStatusOptions}
+ * @returns the knowledge
+ * @internal
+ */
+export function createServerStatus(options: ServerStatusOptions): ServerStatus {
+  const { clock, logger, announceSoon } = options;
+  const leaving = createLeavingServers({ clock, logger });
+  const servers = createServerList(clock, logger, options.onChange);
+  const limits = createServerLimits({
+    clock,
+    logger,
+    hostId: hostIdSchema.parse(options.environment.ip),
+    listHosts: (serverId) =>
+      listLimitSenders(
+        servers.find(serverId)?.poolId,
+        options.findFleet(),
+        options.findDispatchers(),
+      ),
+    onChange: announceSoon,
+  });
+  return {
+    servers,
+    leaving,
+    limits,
+    signals: createServerSignals({ logger, limits, leaving }),
+    update() {
+      const listed = servers.list();
+      limits.update(new Set(listed.map(({ serverId }) => serverId)));
+      leaving.update(listed);
+    },
+  };
+}
--- a/apps/daemon/src/lib/relay/registerRelayGauges.ts
+++ b/apps/daemon/src/lib/relay/registerRelayGauges.ts
@@ -1,5 +1,11 @@
 import type { ServerLimits } from '@endiveferry/admission';
-import type { ConfigurationTracker, ServerPaths, StoreEpochs, Tunnels } from '@endiveferry/relay';
+import type {
+  ConfigurationTracker,
+  LeavingServers,
+  ServerPaths,
+  StoreEpochs,
+  Tunnels,
+} from '@endiveferry/relay';
 import type { CrashTracker } from '@endiveferry/routing';
 import type { Metrics } from '@endiveferry/telemetry';
 
@@ -7,6 +13,7 @@
 export interface RelayGaugeSources {
   readonly crashes: Pick<CrashTracker, 'countBlocked'>;
   readonly limits: Pick<ServerLimits, 'countLimited'>;
+  readonly leaving: Pick<LeavingServers, 'count'>;
   readonly configurationTracker: Pick<ConfigurationTracker, 'version' | 'confirmedAgeMs'>;
   readonly epochs: Pick<StoreEpochs, 'current'>;
   readonly paths: Pick<ServerPaths, 'countCut'>;
@@ -22,8 +29,9 @@
  */
 export function registerRelayGauges(
   metrics: Pick<Metrics, 'registerGauge'>,
-  { crashes, limits, configurationTracker, epochs, paths, tunnels }: RelayGaugeSources,
+  sources: RelayGaugeSources,
 ): void {
+  const { crashes, limits, leaving, configurationTracker, epochs, paths, tunnels } = sources;
   metrics.registerGauge(
     'endiveferry_blocked_parts',
     'prompt parts that are not sent because backend servers crash under them',
@@ -34,6 +42,11 @@
     'backend servers that have named a limit of requests a second',
     () => [{ labels: {}, value: limits.countLimited() }],
   );
+  metrics.registerGauge(
+    'endiveferry_leaving_servers',
+    'backend servers that said in a response that they leave, while the store lists them as ready',
+    () => [{ labels: {}, value: leaving.count() }],
+  );
   metrics.registerGauge(
     'endiveferry_store_epoch',
     'latest epoch of the store; it rises when the store returns from a copy',
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -24,7 +24,18 @@
 export { connectSocket } from './lib/connectSocket.js';
 export { createServerPaths, type ServerPaths } from './lib/createServerPaths.js';
 export { createTunnels, type Tunnels, type TunnelsOptions } from './lib/createTunnels.js';
+export {
+  createLeavingServers,
+  type LeavingServers,
+  type LeavingServersOptions,
+  type ServerStart,
+} from './lib/createLeavingServers.js';
 export { createServerList, type ServerList } from './lib/createServerList.js';
+export {
+  createServerSignals,
+  type ServerSignals,
+  type ServerSignalsOptions,
+} from './lib/createServerSignals.js';
 export { createStageClient, type StageClient } from './lib/createStageClient.js';
 export {
   createStoreEpochs,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -1,4 +1,4 @@
-import type { RetryBudget, ServerLimits } from '@endiveferry/admission';
+import type { RetryBudget } from '@endiveferry/admission';
 import type {
   BackendServerId,
   Clock,
@@ -14,6 +14,7 @@
 import type { InputBytes } from './chooseBackend.js';
 import type { Backend } from './createBackends.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
+import type { ServerSignals } from './createServerSignals.js';
 import type { SuspectIds } from './createSuspectIds.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
 import type { Route } from './RelayConfiguration.js';
@@ -64,7 +65,7 @@
   readonly origins: Pick<StreamOrigins, 'recordBegin'>;
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
-  readonly limits: Pick<ServerLimits, 'recordAnswer'>;
+  readonly signals: ServerSignals;
   readonly metrics: Pick<RelayMetrics, 'recordBrokenStream'>;
   /** Source of the jitter in retry delays. */
   readonly random: Random;
--- a/packages/relay/src/lib/RelayConfiguration.ts
+++ b/packages/relay/src/lib/RelayConfiguration.ts
@@ -133,6 +133,11 @@
   readonly isLeaving: boolean;
   /** Version of its software; undefined for a server that names none. */
   readonly softwareVersion?: SoftwareVersion | undefined;
+  /**
+   * Unix time of its start, in milliseconds, which tells a server that started again under its id;
+   * undefined for a server that names none.
+   */
+  readonly startedAt?: number | undefined;
 }
 
 /**
--- a/packages/relay/src/lib/classifyAttempt.test.ts
+++ b/packages/relay/src/lib/classifyAttempt.test.ts
@@ -14,7 +14,9 @@
   requestId: 'r1',
   load: undefined,
   perSecondLimit: undefined,
+  isLeaving: false,
   isEventStream: false,
+  malformedHeaders: [],
 };
 
 function classify(status: number, change: Partial<ResponseMetadata> = {}) {
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -21,6 +21,7 @@
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome } from './ForwardRequest.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
+import type { ServerSignals } from './createServerSignals.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import type { HostEnvironment, CallerRequest, WireProtocol } from './ports.js';
 import type { Responder } from './Responder.js';
@@ -68,6 +69,7 @@
   readonly backends: Backends;
   readonly crashes: CrashTracker;
   readonly limits: ServerLimits;
+  readonly signals: ServerSignals;
   readonly stages: StageClient;
   readonly countHosts: () => number;
   /** Returns the number of unread prompt tokens of other hosts' requests at an engine. */
@@ -197,7 +199,7 @@
         origins: options.origins,
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
-        limits: options.limits,
+        signals: options.signals,
         metrics: options.relayMetrics,
         onServerReplaced: options.onServerReplaced,
         random,
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -2,7 +2,6 @@
   createNotRunFailure,
   mergeExecution,
   NO_LONGER_NEEDED,
-  type BackendServerId,
   type Failure,
 } from '@endiveferry/base';
 import type { ResponseStart } from '@endiveferry/routing';
@@ -23,7 +22,7 @@
   type AttemptOutcome,
   type BackendResponse,
 } from './classifyAttempt.js';
-import { isRepeatable } from './RelayConfiguration.js';
+import { isRepeatable, type ListedServer } from './RelayConfiguration.js';
 import { recordAnswer } from './recordAnswer.js';
 import { recordAttempt } from './recordAttempt.js';
 import { sendFailure } from './sendFailure.js';
@@ -31,11 +30,7 @@
 /** Number of failed connection attempts after which a request fails. */
 const MAX_CONNECT_FAILURES = 3;
 
-function startResponse(
-  state: ForwardState,
-  serverId: BackendServerId,
-  start: ResponseStart,
-): boolean {
+function startResponse(state: ForwardState, server: ListedServer, start: ResponseStart): boolean {
   const { request, options, relay } = state;
   const metadata = options.protocol.parseResponse(start.status, start.headers);
   if (metadata.requestId !== undefined && metadata.requestId !== request.metadata.requestId) {
@@ -47,7 +42,7 @@
   const isNotRun = metadata.isRejection || metadata.isMisdirected;
   if (isNotRun && metadata.requestId === undefined) start.discardBody();
   if (metadata.isSigned || metadata.isRejection)
-    options.limits.recordAnswer(serverId, metadata.perSecondLimit);
+    options.signals.record(server, metadata, request.metadata.requestId);
   const isStream = start.status === 200 && metadata.isSigned && metadata.isEventStream;
   if (isStream) relay.startSource(start);
   return isStream;
@@ -109,7 +104,7 @@
     },
     onStart(start) {
       state.attempt.hasHead = true;
-      stream.hasStarted = startResponse(state, backend.server.serverId, start);
+      stream.hasStarted = startResponse(state, backend.server, start);
       return stream.hasStarted;
     },
     onData: (chunk) => relay.push(chunk),
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -158,6 +158,7 @@
   slots: z.number(),
   isLeaving: z.boolean(),
   softwareVersion: softwareVersionSchema.optional(),
+  startedAt: z.int().optional(),
 });
 
 /** Schema of the response to a `read-servers` request. @internal */
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -91,7 +91,11 @@
    * Requests a second that the server takes from all hosts together; undefined without a limit.
    */
   readonly perSecondLimit: number | undefined;
+  /** Whether the server says that it leaves, so that it is to get no new requests. */
+  readonly isLeaving: boolean;
   readonly isEventStream: boolean;
+  /** Headers in which the server says something of itself that cannot be read, as NAME: VALUE. */
+  readonly malformedHeaders: readonly string[];
 }
 
 /** A request to run one piece of a stage. @public */
