Send no requests to servers that have said that they leave

Callers' requests reached a backend server for as long as it served, although it had said in its answers that it leaves (DRAIN).

Cause: what a server says of itself was dropped at the platform's boundary, and the store's list alone decided whether a server takes requests. With a silent store it never learned.

A server that says so is leaving for the host that hears it, whatever the list says, until it has started again (its entry's time of start, or its address if it names none). The list of servers shows it as leaving, so choice, stages, streams, tunnels and early rejection ask one question; it is asked again when a request is written, for those that waited for a connection. A withheld call is no failure of its server. Hosts tell each other in heartbeats; earlier builds ignore the field. Entries are told apart by start, so connections and load of an earlier start are dropped.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -44,6 +44,8 @@
   readonly backends: Backends;
   readonly limits: ServerLimits;
   readonly signals: ServerSignals;
+  /** Whether a server, as it was listed when it was chosen, may still get new pieces. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   /** Called when another server responds at the address of a listed one. */
   readonly onServerReplaced: (serverId: BackendServerId) => void;
   /** Takes one retry from the budget of a pool and returns whether the budget allowed it. */
@@ -67,6 +69,7 @@
     result: CallResult,
     pieces: readonly PieceRequest[],
   ): BatchOutcome {
+    if (result.kind === 'not-sent' && result.isWithheld === true) return { kind: 'withheld' };
     if (result.kind !== 'answered') return { kind: 'failed', detail: result.detail };
     const metadata = protocol.parseResponse(result.status, result.headers);
     if (metadata.isMisdirected) return { kind: 'gone' };
@@ -90,6 +93,8 @@
       ...protocol.buildPiecesRequest(serverId, pieces),
       maxResponseBytes: MAX_STAGE_RESPONSE_BYTES,
       signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+      // The call may have waited for a connection since the replica was chosen.
+      maySend: () => options.mayReceive(server),
     });
     return parseResult(server, result, pieces);
   }
--- a/apps/daemon/src/lib/relay/createHeartbeatContent.ts
+++ b/apps/daemon/src/lib/relay/createHeartbeatContent.ts
@@ -1,5 +1,5 @@
 import type { ServerLimits } from '@endiveferry/admission';
-import type { Backends, FleetOptions, VersionHistory } from '@endiveferry/relay';
+import type { Backends, FleetOptions, LeavingServers, VersionHistory } from '@endiveferry/relay';
 import type { CrashTracker } from '@endiveferry/routing';
 
 import type { StageWaits } from './createStageWaits.js';
@@ -10,6 +10,7 @@
   readonly backends: Pick<Backends, 'listPending'>;
   readonly crashes: CrashTracker;
   readonly limits: ServerLimits;
+  readonly leaving: LeavingServers;
   readonly versions: VersionHistory;
 }
 
@@ -25,6 +26,7 @@
   backends,
   crashes,
   limits,
+  leaving,
   versions,
 }: HeartbeatSources): Pick<FleetOptions, 'buildLoad' | 'onHeartbeat'> {
   return {
@@ -33,12 +35,14 @@
       pending: backends.listPending(),
       suspects: crashes.listReports(),
       limits: limits.listReports(),
+      leaving: leaving.listReports(),
       versions: versions.buildReport(),
     }),
     onHeartbeat(heartbeat, from) {
       for (const reported of heartbeat.waits) waits.record(reported);
       crashes.applyReports(heartbeat.suspects, `host ${from}`);
       limits.applyReports(heartbeat.limits, `host ${from}`);
+      leaving.applyReports(heartbeat.leaving, `host ${from}`);
       if (heartbeat.versions !== undefined) versions.applyReport(heartbeat.versions);
     },
   };
--- a/apps/daemon/src/lib/relay/createServerStatus.ts
+++ b/apps/daemon/src/lib/relay/createServerStatus.ts
@@ -32,7 +32,7 @@
   readonly logger: Logger;
   readonly findFleet: () => Pick<Fleet, 'listDispatchers'>;
   readonly findDispatchers: () => Pick<Dispatchers, 'find'>;
-  /** Called after each change of the list of servers. */
+  /** Called after each change of the servers that are listed or leaving. */
   readonly onChange: () => void;
   /** Called when other hosts should hear of a change without delay. */
   readonly announceSoon: () => void;
@@ -46,9 +46,16 @@
  * @internal
  */
 export function createServerStatus(options: ServerStatusOptions): ServerStatus {
-  const { clock, logger, announceSoon } = options;
-  const leaving = createLeavingServers({ clock, logger });
-  const servers = createServerList(clock, logger, options.onChange);
+  const { clock, logger, onChange, announceSoon } = options;
+  const leaving = createLeavingServers({
+    clock,
+    logger,
+    onChange() {
+      onChange();
+      announceSoon();
+    },
+  });
+  const servers = createServerList({ clock, logger, leaving, onChange });
   const limits = createServerLimits({
     clock,
     logger,
@@ -67,7 +74,7 @@
     limits,
     signals: createServerSignals({ logger, limits, leaving }),
     update() {
-      const listed = servers.list();
+      const listed = servers.listEntries();
       limits.update(new Set(listed.map(({ serverId }) => serverId)));
       leaving.update(listed);
     },
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -26,11 +26,16 @@
 export { createTunnels, type Tunnels, type TunnelsOptions } from './lib/createTunnels.js';
 export {
   createLeavingServers,
+  type LeavingReport,
   type LeavingServers,
   type LeavingServersOptions,
   type ServerStart,
 } from './lib/createLeavingServers.js';
-export { createServerList, type ServerList } from './lib/createServerList.js';
+export {
+  createServerList,
+  type ServerList,
+  type ServerListOptions,
+} from './lib/createServerList.js';
 export {
   createServerSignals,
   type ServerSignals,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -17,7 +17,7 @@
 import type { ServerSignals } from './createServerSignals.js';
 import type { SuspectIds } from './createSuspectIds.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
-import type { Route } from './RelayConfiguration.js';
+import type { ListedServer, Route } from './RelayConfiguration.js';
 import type { Responder } from './Responder.js';
 import type { StreamOrigins } from './streams/createStreamOrigins.js';
 import type { StreamOrigin } from './streams/StreamOrigin.js';
@@ -66,6 +66,8 @@
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
   readonly signals: ServerSignals;
+  /** Whether a server, as it was listed when it was chosen, may still get new requests. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   readonly metrics: Pick<RelayMetrics, 'recordBrokenStream'>;
   /** Source of the jitter in retry delays. */
   readonly random: Random;
--- a/packages/relay/src/lib/classifyAttempt.ts
+++ b/packages/relay/src/lib/classifyAttempt.ts
@@ -44,9 +44,20 @@
       /** Whether the same request may succeed at another server. */
       readonly isServerError: boolean;
     }
-  | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
+  | Extract<CallResult, { kind: 'not-sent' }>
   | { readonly kind: 'broken'; readonly reason: FailureReason; readonly detail: string };
 
+/**
+ * Returns whether an attempt was not sent because the server or the request were not to be used any
+ * more.
+ *
+ * @param outcome - the outcome of the attempt
+ * @returns whether it was withheld
+ * @internal
+ */
+export const isWithheld = (outcome: AttemptOutcome) =>
+  outcome.kind === 'not-sent' && outcome.isWithheld === true;
+
 /**
  * Returns what an attempt proves about the execution of the request.
  *
--- a/packages/relay/src/lib/createBackendChooser.ts
+++ b/packages/relay/src/lib/createBackendChooser.ts
@@ -32,8 +32,11 @@
     request: ForwardRequest,
     attemptedIds: ReadonlySet<BackendServerId>,
   ): ChosenBackend | undefined;
-  /** Rejects a request at once when all servers of its group have reached the limits they named. */
-  checkLimits(group: BackendGroup): Failure | undefined;
+  /**
+   * Rejects a request at once when all servers of its group leave, or have reached the limits that
+   * they named.
+   */
+  checkServers(group: BackendGroup): Failure | undefined;
 }
 
 /** Options of {@link createBackendChooser}. @internal */
@@ -99,10 +102,18 @@
       if (chosen !== undefined) limits.recordSent(chosen.backend.server.serverId);
       return chosen;
     },
-    checkLimits(group) {
-      const usable = listGroup(group).filter(({ server }) => !server.isLeaving);
+    checkServers(group) {
+      const listed = listGroup(group);
+      const usable = listed.filter(({ server }) => !server.isLeaving);
+      if (listed.length === 0) return undefined;
+      if (usable.length === 0) {
+        return createNotRunFailure(
+          'no-backend-server',
+          `all ${listed.length} servers of pool ${group.poolId} are leaving`,
+        );
+      }
       const isExhausted = usable.every(({ server }) => !limits.maySend(server.serverId));
-      if (usable.length === 0 || !isExhausted) return undefined;
+      if (!isExhausted) return undefined;
       return createNotRunFailure(
         'overloaded',
         `all ${usable.length} servers of pool ${group.poolId} have named limits, which are reached`,
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '@endiveferry/telemetry';
 
 import type { ServerPaths } from './createServerPaths.js';
+import { isSameProcess } from './isSameProcess.js';
 import type { ReportedLoad } from './ports.js';
 import type { ListedServer, RelayPool } from './RelayConfiguration.js';
 
@@ -94,10 +95,6 @@
   readonly paths: Pick<ServerPaths, 'openSocket' | 'startCall'>;
 }
 
-/** A server that starts again under its id may have another address and software version. */
-const isSameProcess = (listed: ListedServer | undefined, known: ListedServer) =>
-  listed?.address === known.address && listed.softwareVersion === known.softwareVersion;
-
 /**
  * Creates an empty registry of backend servers.
  *
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -95,7 +95,7 @@
   /** Builds the part of a heartbeat on dispatchers, on prompts, and on backend servers. */
   readonly buildLoad: () => Pick<
     RelayHeartbeat,
-    'waits' | 'pending' | 'suspects' | 'limits' | 'versions'
+    'waits' | 'pending' | 'suspects' | 'limits' | 'leaving' | 'versions'
   >;
   /** Returns the pools whose pieces are run through a dispatcher. */
   readonly listStagePools: () => readonly PoolId[];
@@ -241,7 +241,8 @@
         ...(Number.isFinite(confirmedAgeMs) ? { confirmedAgeMs } : {}),
       });
     },
-    'read-servers': () => Promise.resolve({ ...servers.position(), servers: servers.list() }),
+    'read-servers': () =>
+      Promise.resolve({ ...servers.position(), servers: servers.listEntries() }),
   };
 
   const network = await createPeerNetwork<RelayHeartbeat>({
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -20,6 +20,7 @@
 import type { StageClient } from './createStageClient.js';
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome } from './ForwardRequest.js';
+import type { ListedServer } from './RelayConfiguration.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { ServerSignals } from './createServerSignals.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
@@ -70,6 +71,8 @@
   readonly crashes: CrashTracker;
   readonly limits: ServerLimits;
   readonly signals: ServerSignals;
+  /** Whether a server, as it was listed when it was chosen, may still get new requests. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   readonly stages: StageClient;
   readonly countHosts: () => number;
   /** Returns the number of unread prompt tokens of other hosts' requests at an engine. */
@@ -135,7 +138,7 @@
     const origin = await resolveOrigin(admitted);
     if (origin.isErr()) return err(origin.error);
     const started = { ...admitted, poolId: origin.value?.poolId ?? admitted.poolId };
-    const failure = chooser.checkLimits({ poolId: started.poolId, origin: origin.value });
+    const failure = chooser.checkServers({ poolId: started.poolId, origin: origin.value });
     if (failure !== undefined) return err(failure);
     const output = await inputs.prepare(started, connection.signal);
     return output.map((value) => ({ admitted: started, origin: origin.value, output: value }));
@@ -200,6 +203,7 @@
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
         signals: options.signals,
+        mayReceive: options.mayReceive,
         metrics: options.relayMetrics,
         onServerReplaced: options.onServerReplaced,
         random,
--- a/packages/relay/src/lib/createServerList.test.ts
+++ b/packages/relay/src/lib/createServerList.test.ts
@@ -26,10 +26,15 @@
   };
 }
 
-function createHarness() {
+function createHarness(leavingIds: readonly string[] = []) {
   const clock = createFakeClock();
   const logger = createLogger(hostIdSchema.parse('host'), 'error');
-  const list = createServerList(clock, logger, () => undefined);
+  const list = createServerList({
+    clock,
+    logger,
+    leaving: { has: ({ serverId }) => leavingIds.includes(serverId) },
+    onChange: () => undefined,
+  });
   const names = () => list.list().map(({ serverId }) => serverId);
   return { clock, list, names };
 }
@@ -130,3 +135,23 @@
   await clock.advance(10_000);
   assert.deepEqual(names(), ['two']);
 });
+
+test('a server that was chosen gets no request once it leaves, is gone or has started again', async () => {
+  const leavingIds: string[] = [];
+  const { clock, list } = createHarness(leavingIds);
+  const chosen = { ...one, startedAt: 1 };
+  list.replace([chosen, two], at(1), 'test');
+  await clock.advance(10_000);
+  assert.ok(list.mayReceive(chosen) && list.mayReceive(two));
+  leavingIds.push('one');
+  assert.ok(!list.mayReceive(chosen));
+  assert.deepEqual(
+    list.list().map(({ isLeaving }) => isLeaving),
+    [true, false],
+  );
+  leavingIds.pop();
+  list.apply([{ kind: 'written', server: { ...chosen, startedAt: 2 } }], at(2));
+  assert.ok(!list.mayReceive(chosen));
+  list.apply([{ kind: 'removed', serverId: two.serverId }], at(3));
+  assert.ok(!list.mayReceive(two));
+});
--- a/packages/relay/src/lib/createServerList.ts
+++ b/packages/relay/src/lib/createServerList.ts
@@ -1,6 +1,8 @@
 import type { BackendServerId, Clock } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
+import type { LeavingServers } from './createLeavingServers.js';
+import { isSameProcess } from './isSameProcess.js';
 import type { ServerChange } from './ports.js';
 import type { ListedServer } from './RelayConfiguration.js';
 import { isAfter, NO_POSITION, type StorePosition } from './StorePosition.js';
@@ -31,9 +33,13 @@
  * @public
  */
 export interface ServerList {
-  /** Returns all servers, including those that are leaving. */
+  /** Returns all servers, including those that are leaving by their entries or by their word. */
   readonly list: () => readonly ListedServer[];
+  /** Returns the servers as the store lists them. */
+  readonly listEntries: () => readonly ListedServer[];
   find(serverId: BackendServerId): ListedServer | undefined;
+  /** Whether a server, as it was listed when it was chosen, may still get new requests. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   /** Returns where in the store's history the list was read. */
   readonly position: () => StorePosition;
   /**
@@ -50,18 +56,27 @@
   remove(serverId: BackendServerId, reason: string): void;
 }
 
+/** Options of {@link createServerList}. @public */
+export interface ServerListOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** The servers that have said that they leave, whatever their entries say. */
+  readonly leaving: Pick<LeavingServers, 'has'>;
+  /** Called after each change. */
+  readonly onChange: () => void;
+}
+
 /**
  * Creates an empty list. Servers whose entries disappear right after an outage of the store are
  * kept for a short time: running servers register again, and removing all of them would stop the
  * service.
  *
- * @param clock - clock that times delayed removals
- * @param logger - logger of each change
- * @param onChange - called after each change
+ * @param options - see {@link ServerListOptions}
  * @returns the list
  * @public
  */
-export function createServerList(clock: Clock, logger: Logger, onChange: () => void): ServerList {
+export function createServerList(options: ServerListOptions): ServerList {
+  const { clock, logger, leaving, onChange } = options;
   const servers = new Map<BackendServerId, ListedServer>();
   const removalRequestedAt = new Map<BackendServerId, number>();
   /** When servers left the list; the earliest first. */
@@ -72,6 +87,14 @@
   let storeRecoveredAt = -Infinity;
   let copyReadAt = -Infinity;
 
+  const applyLeaving = (server: ListedServer): ListedServer =>
+    !server.isLeaving && leaving.has(server) ? { ...server, isLeaving: true } : server;
+
+  function find(serverId: BackendServerId): ListedServer | undefined {
+    const server = servers.get(serverId);
+    return server === undefined ? undefined : applyLeaving(server);
+  }
+
   const isFromCopy = () => clock.now() - copyReadAt < COPY_EXPIRY_MS;
 
   function setServer(server: ListedServer): void {
@@ -156,8 +179,13 @@
   };
 
   return {
-    list: () => [...servers.values()],
-    find: (serverId) => servers.get(serverId),
+    list: () => [...servers.values()].map(applyLeaving),
+    listEntries: () => [...servers.values()],
+    find,
+    mayReceive(server) {
+      const listed = find(server.serverId);
+      return listed?.isLeaving === false && isSameProcess(listed, server);
+    },
     position: () => position,
     replace(listed, nextPosition, source) {
       if (isAfter(position, nextPosition)) return;
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -19,6 +19,7 @@
 import {
   getExecution,
   classifyAttempt,
+  isWithheld,
   type AttemptOutcome,
   type BackendResponse,
 } from './classifyAttempt.js';
@@ -95,7 +96,9 @@
     ...(callerRequest.body.length > 0 ? { rawBody: callerRequest.body } : {}),
     signal: controller.signal,
     // The call may have waited for a connection since the last check.
-    maySend: () => checkSuspects(request.suspectIds, options.crashes) === undefined,
+    maySend: () =>
+      options.mayReceive(backend.server) &&
+      checkSuspects(request.suspectIds, options.crashes) === undefined,
     onSent() {
       const now = options.clock.now();
       state.sentAt ??= now;
@@ -142,6 +145,7 @@
   const { clock } = options;
   if (request.connection.signal.aborted || clock.now() >= request.endAt) return false;
   if (outcome.kind === 'not-sent') {
+    if (isWithheld(outcome)) return true;
     state.connectFailures += 1;
     return state.connectFailures < MAX_CONNECT_FAILURES;
   }
@@ -169,7 +173,7 @@
   if (options.clock.now() >= request.endAt && execution !== 'not-run') {
     return { reason: 'deadline-exceeded', detail: 'no response before the deadline', execution };
   }
-  if (outcome === undefined) {
+  if (outcome === undefined || isWithheld(outcome)) {
     return createNotRunFailure(
       'no-backend-server',
       `no server of pool ${request.poolId} is usable`,
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -12,6 +12,7 @@
 import type { HeartbeatCodec } from '@endiveferry/peers';
 import { z } from 'zod';
 
+import { leavingReportSchema } from './createLeavingServers.js';
 import { rankWaitSchema } from './pieces/RankWait.js';
 import { versionReportSchema } from './streams/StreamOrigin.js';
 
@@ -61,6 +62,8 @@
   suspects: z.array(suspectReportSchema).default([]),
   /** Limits that backend servers have named, and those that ended recently. */
   limits: z.array(limitReportSchema).default([]),
+  /** Backend servers that have said that they leave. */
+  leaving: z.array(leavingReportSchema).default([]),
   /** Software versions that the sender has seen listed; absent from hosts that don't track them. */
   versions: versionReportSchema.optional(),
 });
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -16,14 +16,16 @@
 }
 
 /**
- * Outcome of a batched call to a replica: the outcomes of its pieces, no free slot, an address that
- * now belongs to another server, or a failure of the call.
+ * Outcome of a batched call to a replica: the outcomes of its pieces, no free slot, a call that was
+ * not sent because the replica gets no new pieces any more, an address that now belongs to another
+ * server, or a failure of the call.
  *
  * @public
  */
 export type BatchOutcome =
   | { readonly kind: 'answered'; readonly outcomes: readonly PieceOutcome[] }
   | { readonly kind: 'full' }
+  | { readonly kind: 'withheld' }
   | { readonly kind: 'gone' }
   | { readonly kind: 'failed'; readonly detail: string };
 
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -244,6 +244,7 @@
     (replica: ReplicaState, callOutcome: BatchOutcome) => void
   > = {
     full: (replica) => replica.recordFull(),
+    withheld: () => undefined,
     gone: (replica) => {
       replica.recordFailure();
       options.onServerReplaced(replica.server().serverId);
--- a/packages/relay/src/lib/recordAttempt.ts
+++ b/packages/relay/src/lib/recordAttempt.ts
@@ -1,6 +1,6 @@
 import { MIN_CRASH_RUN_MS } from '@endiveferry/routing';
 
-import { getExecution, type AttemptOutcome } from './classifyAttempt.js';
+import { getExecution, isWithheld, type AttemptOutcome } from './classifyAttempt.js';
 import type { Backend } from './createBackends.js';
 import type { BreakProgress } from './createRelayMetrics.js';
 import { countAttemptEvents, type ForwardState } from './ForwardState.js';
@@ -56,7 +56,7 @@
     options.onServerReplaced(serverId);
   else if (outcome.kind === 'failure-answer') backend.recordErrorResponse();
   // A disconnect of the caller is not a failure of the server.
-  else if (outcome.kind !== 'refused' && !request.connection.signal.aborted)
+  else if (outcome.kind !== 'refused' && !isWithheld(outcome) && !request.connection.signal.aborted)
     backend.recordFailure();
   const isStream = request.route.kind === 'streaming';
   const isAnswer = outcome.kind === 'success' || outcome.kind === 'failure-answer';
--- a/packages/routing/src/lib/sendCall.test.ts
+++ b/packages/routing/src/lib/sendCall.test.ts
@@ -108,3 +108,14 @@
       assert.equal((await late).kind, 'unknown');
     },
   ));
+
+test('a call that may not be sent any more when a connection is free is withheld', () =>
+  withServer(
+    (socket) => socket.write(formatResponse('200 OK', 'yes')),
+    async (send, countRequests) => {
+      const result = await send({ maySend: () => false });
+      assert.equal(result.kind, 'not-sent');
+      assert.equal('isWithheld' in result && result.isWithheld, true);
+      assert.equal(countRequests(), 0);
+    },
+  ));
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -77,7 +77,13 @@
       readonly headers: HttpHeaders;
       readonly body: Buffer;
     }
-  | { readonly kind: 'not-sent'; readonly reason: FailureReason; readonly detail: string }
+  | {
+      readonly kind: 'not-sent';
+      readonly reason: FailureReason;
+      readonly detail: string;
+      /** Whether {@link Call.maySend} kept the call from being sent. */
+      readonly isWithheld?: boolean;
+    }
   | { readonly kind: 'unknown'; readonly reason: FailureReason; readonly detail: string };
 
 /** State that the calls to one server share. @internal */
@@ -108,6 +114,7 @@
   const body = createResponseBuffer();
   const maxBytes = call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
   let wasSent = false;
+  let isWithheld = false;
   let status = 0;
   let headers: HttpHeaders = {};
   let isStreamed = false;
@@ -138,6 +145,7 @@
       if (call.signal?.aborted === true) onAbort();
       else if (call.maySend?.() === false) {
         const detail = 'this host may no longer run the call';
+        isWithheld = true;
         controller.abort(new CallAbortedError('key-unproven', detail));
       } else {
         wasSent = true;
@@ -186,7 +194,13 @@
       const abortReason = error instanceof CallAbortedError ? error.reason : undefined;
       const detail = describeError(error);
       if (wasSent) end({ kind: 'unknown', reason: abortReason ?? 'connection-lost', detail });
-      else end({ kind: 'not-sent', reason: abortReason ?? 'connect-failed', detail });
+      else
+        end({
+          kind: 'not-sent',
+          reason: abortReason ?? 'connect-failed',
+          detail,
+          ...(isWithheld ? { isWithheld } : {}),
+        });
     },
   };
   return handler;
