Log the backoffs that backend servers request

The time in a rejection (429 or 503 with the proof that the request was not run) is parsed, recorded with the other limits that servers name, logged and counted.

--- a/apps/daemon/src/lib/relay/registerRelayGauges.ts
+++ b/apps/daemon/src/lib/relay/registerRelayGauges.ts
@@ -12,7 +12,7 @@
 /** State that the gauges publish. @internal */
 export interface RelayGaugeSources {
   readonly crashes: Pick<CrashTracker, 'countBlocked'>;
-  readonly limits: Pick<ServerLimits, 'countLimited'>;
+  readonly limits: Pick<ServerLimits, 'countLimited' | 'countBackoffs'>;
   readonly leaving: Pick<LeavingServers, 'count'>;
   readonly configurationTracker: Pick<ConfigurationTracker, 'version' | 'confirmedAgeMs'>;
   readonly epochs: Pick<StoreEpochs, 'current'>;
@@ -42,6 +42,11 @@
     'backend servers that have named a limit of requests a second',
     () => [{ labels: {}, value: limits.countLimited() }],
   );
+  metrics.registerGauge(
+    'endiveferry_backoff_servers',
+    'backend servers that requested a backoff from this host, which has not ended',
+    () => [{ labels: {}, value: limits.countBackoffs() }],
+  );
   metrics.registerGauge(
     'endiveferry_leaving_servers',
     'backend servers that said in a response that they leave, while the store lists them as ready',
--- a/packages/admission/src/lib/createServerLimits.ts
+++ b/packages/admission/src/lib/createServerLimits.ts
@@ -6,6 +6,7 @@
 } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
+import { createRequestedBackoffs, type RequestedBackoffs } from './createRequestedBackoffs.js';
 import type { LimitReport } from './LimitReport.js';
 
 /** Lowest rate at which a limited server is asked, per second, to hear when its limit ends. */
@@ -52,6 +53,9 @@
   /** Whether this host should send the next request to the server, to hear whether its limit ended. */
   readonly isRefreshDue: (serverId: BackendServerId) => boolean;
   readonly countLimited: () => number;
+  /** Records that a server wants no requests of this host for some time, in milliseconds. */
+  readonly recordBackoff: RequestedBackoffs['record'];
+  readonly countBackoffs: () => number;
   /** Forgets the servers that are not listed. */
   update(serverIds: ReadonlySet<BackendServerId>): void;
   /** Applies what another host reports. */
@@ -98,6 +102,7 @@
 export function createServerLimits(options: ServerLimitsOptions): ServerLimits {
   const { clock, logger, hostId } = options;
   const limits = new Map<BackendServerId, NamedLimit>();
+  const backoffs = createRequestedBackoffs(options);
 
   /** Returns this host's share of a limit, in requests a second; undefined when it has none. */
   function computeShare(serverId: BackendServerId, perSecond: number): number | undefined {
@@ -181,6 +186,8 @@
     },
     countLimited: () =>
       [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+    recordBackoff: backoffs.record,
+    countBackoffs: backoffs.count,
     update(serverIds) {
       for (const serverId of limits.keys()) if (!serverIds.has(serverId)) limits.delete(serverId);
     },
--- a/packages/relay/src/lib/classifyAttempt.test.ts
+++ b/packages/relay/src/lib/classifyAttempt.test.ts
@@ -14,6 +14,7 @@
   requestId: 'r1',
   load: undefined,
   perSecondLimit: undefined,
+  backoffMs: undefined,
   isLeaving: false,
   isEventStream: false,
   malformedHeaders: [],
--- a/packages/relay/src/lib/createServerSignals.ts
+++ b/packages/relay/src/lib/createServerSignals.ts
@@ -28,7 +28,7 @@
 /** Options of {@link createServerSignals}. @public */
 export interface ServerSignalsOptions {
   readonly logger: Logger;
-  readonly limits: Pick<ServerLimits, 'recordAnswer'>;
+  readonly limits: Pick<ServerLimits, 'recordAnswer' | 'recordBackoff'>;
   readonly leaving: Pick<LeavingServers, 'record'>;
 }
 
@@ -66,8 +66,11 @@
       const { serverId } = server;
       const { malformedHeaders } = metadata;
       if (malformedHeaders.length > 0) logMalformed(serverId, malformedHeaders, requestId);
-      if (metadata.isLeaving) leaving.record(server, `response to ${requestId ?? 'a request'}`);
+      const source = `response to ${requestId ?? 'a request'}`;
+      if (metadata.isLeaving) leaving.record(server, source);
       limits.recordAnswer(serverId, metadata.perSecondLimit);
+      if (metadata.backoffMs !== undefined)
+        limits.recordBackoff(serverId, metadata.backoffMs, source);
     },
   };
 }
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -91,6 +91,11 @@
    * Requests a second that the server takes from all hosts together; undefined without a limit.
    */
   readonly perSecondLimit: number | undefined;
+  /**
+   * Time for which the server wants no requests from this host, in milliseconds; undefined unless it
+   * rejected the request and names a time.
+   */
+  readonly backoffMs: number | undefined;
   /** Whether the server says that it leaves, so that it is to get no new requests. */
   readonly isLeaving: boolean;
   readonly isEventStream: boolean;
