Keep the backoffs that backend servers request

Callers got 503 although five of six servers had room, and a server that had rejected a request with Retry-After got up to 39 more from the same host in that time (BUDGET; two are allowed).

Cause: nothing read the header. A rejection is no failure of its server, and a server that rejects at once has little load, so it was preferred; each rejection took a retry until the budget was spent.

A host sends such a server nothing until the last of its backoffs ends, and asks other servers instead. It is one question with the limits that servers name, so requests, streams, stage pieces and the freeing of results ask it; it is asked again when a request is written. A server speaks to one host, so hosts don't tell each other, unless they share connections, which the server can't tell apart. When no server of a group takes requests, the caller is rejected, before its stages, with the time until the first one does.

--- a/apps/daemon/src/lib/relay/createHeartbeatContent.ts
+++ b/apps/daemon/src/lib/relay/createHeartbeatContent.ts
@@ -35,6 +35,7 @@
       pending: backends.listPending(),
       suspects: crashes.listReports(),
       limits: limits.listReports(),
+      backoffs: limits.backoffs.listReports(),
       leaving: leaving.listReports(),
       versions: versions.buildReport(),
     }),
@@ -42,6 +43,7 @@
       for (const reported of heartbeat.waits) waits.record(reported);
       crashes.applyReports(heartbeat.suspects, `host ${from}`);
       limits.applyReports(heartbeat.limits, `host ${from}`);
+      limits.backoffs.applyReports(heartbeat.backoffs, `host ${from}`);
       leaving.applyReports(heartbeat.leaving, `host ${from}`);
       if (heartbeat.versions !== undefined) versions.applyReport(heartbeat.versions);
     },
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -109,13 +109,15 @@
     ...context,
     findFleet,
     findDispatchers: () => dispatchers,
+    isShared: (address) => isShared(address),
     onChange: applyServers,
     announceSoon,
   });
-  const { servers, limits, signals } = status;
-  const { backends, paths, tunnels } = createServerAccess({
+  const { servers, limits, signals, mayReceive } = status;
+  const { backends, paths, tunnels, isShared } = createServerAccess({
     ...context,
     servers,
+    mayReceive,
     findFleet,
     isStopping: () => isStopping,
   });
@@ -140,7 +142,7 @@
     backends,
     limits,
     signals,
-    mayReceive: servers.mayReceive,
+    mayReceive,
     onServerReplaced,
     tryWithdrawRetry: (poolId) => service.tryWithdrawRetry(poolId),
     estimateWaitMs: (poolId, rank) => waits.estimateMs(poolId, rank),
@@ -172,7 +174,7 @@
     crashes,
     limits,
     signals,
-    mayReceive: servers.mayReceive,
+    mayReceive,
     origins: streams.origins,
     stages,
     countHosts,
--- a/apps/daemon/src/lib/relay/createServerAccess.ts
+++ b/apps/daemon/src/lib/relay/createServerAccess.ts
@@ -6,6 +6,7 @@
   createTunnels,
   type Backends,
   type Fleet,
+  type ListedServer,
   type ServerList,
   type ServerPaths,
   type Tunnels,
@@ -17,6 +18,8 @@
   readonly backends: Backends;
   readonly paths: ServerPaths;
   readonly tunnels: Tunnels;
+  /** Whether this host reaches an address through another one, or carries connections to it. */
+  readonly isShared: (address: string) => boolean;
 }
 
 /** Options of {@link createServerAccess}. @internal */
@@ -25,6 +28,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly servers: ServerList;
+  /** Whether a server may get requests of this host. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   readonly findFleet: () => Fleet;
   readonly isStopping: () => boolean;
 }
@@ -44,7 +49,7 @@
     logger,
     findFleet,
     isListed: (address) =>
-      servers.list().some((server) => server.address === address && !server.isLeaving),
+      servers.list().some((server) => server.address === address && options.mayReceive(server)),
     mayCarry: (address) => !isStopping() && !paths.isCut(address),
   });
   const paths: ServerPaths = createServerPaths({
@@ -64,5 +69,6 @@
     countHosts: () => findFleet().countHosts(),
     paths,
   });
-  return { backends, paths, tunnels };
+  const isShared = (address: string) => paths.isCut(address) || tunnels.isCarrying(address);
+  return { backends, paths, tunnels, isShared };
 }
--- a/apps/daemon/src/lib/relay/createServerStatus.ts
+++ b/apps/daemon/src/lib/relay/createServerStatus.ts
@@ -7,6 +7,7 @@
   type Fleet,
   type HostEnvironment,
   type LeavingServers,
+  type ListedServer,
   type ServerList,
   type ServerSignals,
 } from '@endiveferry/relay';
@@ -21,6 +22,8 @@
   readonly leaving: LeavingServers;
   readonly limits: ServerLimits;
   readonly signals: ServerSignals;
+  /** Whether a server, as it was listed when it was chosen, may still get requests of this host. */
+  readonly mayReceive: (server: ListedServer) => boolean;
   /** Forgets what is known of servers that are not listed any more. */
   update(): void;
 }
@@ -32,6 +35,8 @@
   readonly logger: Logger;
   readonly findFleet: () => Pick<Fleet, 'listDispatchers'>;
   readonly findDispatchers: () => Pick<Dispatchers, 'find'>;
+  /** Whether this host shares connections to an address with other hosts. */
+  readonly isShared: (address: string) => boolean;
   /** Called after each change of the servers that are listed or leaving. */
   readonly onChange: () => void;
   /** Called when other hosts should hear of a change without delay. */
@@ -66,6 +71,10 @@
         options.findFleet(),
         options.findDispatchers(),
       ),
+    isShared(serverId) {
+      const server = servers.find(serverId);
+      return server !== undefined && options.isShared(server.address);
+    },
     onChange: announceSoon,
   });
   return {
@@ -73,6 +82,8 @@
     leaving,
     limits,
     signals: createServerSignals({ logger, limits, leaving }),
+    mayReceive: (server) =>
+      servers.mayReceive(server) && limits.backoffs.findRemainingMs(server.serverId) === 0,
     update() {
       const listed = servers.listEntries();
       limits.update(new Set(listed.map(({ serverId }) => serverId)));
--- a/apps/daemon/src/lib/relay/registerRelayGauges.ts
+++ b/apps/daemon/src/lib/relay/registerRelayGauges.ts
@@ -12,7 +12,7 @@
 /** State that the gauges publish. @internal */
 export interface RelayGaugeSources {
   readonly crashes: Pick<CrashTracker, 'countBlocked'>;
-  readonly limits: Pick<ServerLimits, 'countLimited' | 'countBackoffs'>;
+  readonly limits: Pick<ServerLimits, 'countLimited' | 'backoffs'>;
   readonly leaving: Pick<LeavingServers, 'count'>;
   readonly configurationTracker: Pick<ConfigurationTracker, 'version' | 'confirmedAgeMs'>;
   readonly epochs: Pick<StoreEpochs, 'current'>;
@@ -45,7 +45,7 @@
   metrics.registerGauge(
     'endiveferry_backoff_servers',
     'backend servers that requested a backoff from this host, which has not ended',
-    () => [{ labels: {}, value: limits.countBackoffs() }],
+    () => [{ labels: {}, value: limits.backoffs.count() }],
   );
   metrics.registerGauge(
     'endiveferry_leaving_servers',
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,13 @@
 export { createDemandSmoother, type DemandSmoother } from './lib/createDemandSmoother.js';
 export { createFleetDemand, type FleetDemand, type HostDemand } from './lib/createFleetDemand.js';
 export { createRetryBudget, type RetryBudget } from './lib/createRetryBudget.js';
+export {
+  backoffReportSchema,
+  createRequestedBackoffs,
+  type BackoffReport,
+  type RequestedBackoffs,
+  type RequestedBackoffsOptions,
+} from './lib/createRequestedBackoffs.js';
 export {
   createServerLimits,
   type ServerLimits,
--- a/packages/admission/src/lib/createServerLimits.ts
+++ b/packages/admission/src/lib/createServerLimits.ts
@@ -6,7 +6,11 @@
 } from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 
-import { createRequestedBackoffs, type RequestedBackoffs } from './createRequestedBackoffs.js';
+import {
+  createRequestedBackoffs,
+  type RequestedBackoffs,
+  type RequestedBackoffsOptions,
+} from './createRequestedBackoffs.js';
 import type { LimitReport } from './LimitReport.js';
 
 /** Lowest rate at which a limited server is asked, per second, to hear when its limit ends. */
@@ -44,7 +48,7 @@
    *   the answer names no limit
    */
   recordAnswer(serverId: BackendServerId, perSecond: number | undefined): void;
-  /** Whether the server has named a limit. */
+  /** Whether the server has named a limit, or a backoff that has not ended. */
   readonly isLimited: (serverId: BackendServerId) => boolean;
   /** Whether this host may send the server a request now. */
   readonly maySend: (serverId: BackendServerId) => boolean;
@@ -53,9 +57,8 @@
   /** Whether this host should send the next request to the server, to hear whether its limit ended. */
   readonly isRefreshDue: (serverId: BackendServerId) => boolean;
   readonly countLimited: () => number;
-  /** Records that a server wants no requests of this host for some time, in milliseconds. */
-  readonly recordBackoff: RequestedBackoffs['record'];
-  readonly countBackoffs: () => number;
+  /** Backoffs that servers have requested from this host; it sends them nothing until these end. */
+  readonly backoffs: RequestedBackoffs;
   /** Forgets the servers that are not listed. */
   update(serverIds: ReadonlySet<BackendServerId>): void;
   /** Applies what another host reports. */
@@ -74,6 +77,8 @@
    * list the same ones, apart from recent changes.
    */
   readonly listHosts: (serverId: BackendServerId) => readonly HostId[];
+  /** Whether connections to a server are shared with other hosts; by default none are. */
+  readonly isShared?: RequestedBackoffsOptions['isShared'];
   /** Called when other hosts should hear of a change without delay. */
   readonly onChange: () => void;
 }
@@ -102,7 +107,7 @@
 export function createServerLimits(options: ServerLimitsOptions): ServerLimits {
   const { clock, logger, hostId } = options;
   const limits = new Map<BackendServerId, NamedLimit>();
-  const backoffs = createRequestedBackoffs(options);
+  const backoffs = createRequestedBackoffs({ isShared: () => false, ...options });
 
   /** Returns this host's share of a limit, in requests a second; undefined when it has none. */
   function computeShare(serverId: BackendServerId, perSecond: number): number | undefined {
@@ -156,6 +161,7 @@
   }
 
   function maySend(serverId: BackendServerId): boolean {
+    if (backoffs.findRemainingMs(serverId) > 0) return false;
     const limit = limits.get(serverId);
     if (limit?.perSecond === undefined) return true;
     refill(serverId, limit, limit.perSecond);
@@ -170,7 +176,8 @@
         perSecond === undefined && known?.perSecond !== undefined && now - known.at < REORDER_MS;
       if (!isReordered) setLimit(serverId, perSecond, now, 'answer');
     },
-    isLimited: (serverId) => limits.get(serverId)?.perSecond !== undefined,
+    isLimited: (serverId) =>
+      limits.get(serverId)?.perSecond !== undefined || backoffs.findRemainingMs(serverId) > 0,
     maySend,
     recordSent(serverId) {
       const limit = limits.get(serverId);
@@ -186,8 +193,7 @@
     },
     countLimited: () =>
       [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
-    recordBackoff: backoffs.record,
-    countBackoffs: backoffs.count,
+    backoffs,
     update(serverIds) {
       for (const serverId of limits.keys()) if (!serverIds.has(serverId)) limits.delete(serverId);
     },
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -12,6 +12,7 @@
 
 import type { CallerConnection } from './CallerConnection.js';
 import type { InputBytes } from './chooseBackend.js';
+import type { BackendGroup } from './createBackendChooser.js';
 import type { Backend } from './createBackends.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { ServerSignals } from './createServerSignals.js';
@@ -63,6 +64,8 @@
     attemptedIds: ReadonlySet<BackendServerId>,
   ) => ChosenBackend | undefined;
   readonly origins: Pick<StreamOrigins, 'recordBegin'>;
+  /** Returns why no server of a group takes requests now; undefined if one may. */
+  readonly checkServers: (group: BackendGroup) => Failure | undefined;
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
   readonly signals: ServerSignals;
--- a/packages/relay/src/lib/createBackendChooser.ts
+++ b/packages/relay/src/lib/createBackendChooser.ts
@@ -33,8 +33,8 @@
     attemptedIds: ReadonlySet<BackendServerId>,
   ): ChosenBackend | undefined;
   /**
-   * Rejects a request at once when all servers of its group leave, or have reached the limits that
-   * they named.
+   * Rejects a request at once when all servers of its group leave, have reached the limits that they
+   * named, or have requested backoffs.
    */
   checkServers(group: BackendGroup): Failure | undefined;
 }
@@ -114,10 +114,14 @@
       }
       const isExhausted = usable.every(({ server }) => !limits.maySend(server.serverId));
       if (!isExhausted) return undefined;
+      const retryDelays = usable.map(({ server }) => {
+        const backoffMs = limits.backoffs.findRemainingMs(server.serverId);
+        return backoffMs > 0 ? backoffMs : LIMIT_RETRY_MS;
+      });
       return createNotRunFailure(
         'overloaded',
-        `all ${usable.length} servers of pool ${group.poolId} have named limits, which are reached`,
-        LIMIT_RETRY_MS,
+        `all ${usable.length} servers of pool ${group.poolId} have reached their limits or requested backoffs`,
+        Math.min(...retryDelays),
       );
     },
   };
--- a/packages/relay/src/lib/createMembership.test.ts
+++ b/packages/relay/src/lib/createMembership.test.ts
@@ -35,6 +35,7 @@
   pending: [],
   suspects: [],
   limits: [],
+  backoffs: [],
   leaving: [],
 });
 
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -199,6 +199,7 @@
         logger,
         protocol,
         choose: (request, attemptedIds) => chooser.choose(request, attemptedIds),
+        checkServers: (group) => chooser.checkServers(group),
         origins: options.origins,
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
--- a/packages/relay/src/lib/createServerSignals.ts
+++ b/packages/relay/src/lib/createServerSignals.ts
@@ -28,7 +28,7 @@
 /** Options of {@link createServerSignals}. @public */
 export interface ServerSignalsOptions {
   readonly logger: Logger;
-  readonly limits: Pick<ServerLimits, 'recordAnswer' | 'recordBackoff'>;
+  readonly limits: Pick<ServerLimits, 'recordAnswer' | 'backoffs'>;
   readonly leaving: Pick<LeavingServers, 'record'>;
 }
 
@@ -70,7 +70,7 @@
       if (metadata.isLeaving) leaving.record(server, source);
       limits.recordAnswer(serverId, metadata.perSecondLimit);
       if (metadata.backoffMs !== undefined)
-        limits.recordBackoff(serverId, metadata.backoffMs, source);
+        limits.backoffs.record(serverId, metadata.backoffMs, source);
     },
   };
 }
--- a/packages/relay/src/lib/createTunnels.ts
+++ b/packages/relay/src/lib/createTunnels.ts
@@ -40,6 +40,8 @@
   readonly accept: AcceptTunnel;
   /** Returns the number of tunnels that this host carries for others. */
   readonly countCarried: () => number;
+  /** Whether this host carries tunnels to an address. */
+  readonly isCarrying: (address: string) => boolean;
 }
 
 /** Options of {@link createTunnels}. @public */
@@ -47,7 +49,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly findFleet: () => Pick<Fleet, 'listCarriers' | 'openTunnel'>;
-  /** Whether an address is that of a listed server that takes new requests. */
+  /** Whether an address is that of a listed server that takes new requests of this host. */
   readonly isListed: (address: string) => boolean;
   /** Whether this host carries tunnels to a server. */
   readonly mayCarry: (address: string) => boolean;
@@ -81,6 +83,14 @@
 export function createTunnels(options: TunnelsOptions): Tunnels {
   const { random, logger, findFleet } = options;
   let carried = 0;
+  /** Open tunnels by the address that they lead to. */
+  const openTunnels = new Map<string, number>();
+
+  function addOpen(address: string, change: number): void {
+    const open = (openTunnels.get(address) ?? 0) + change;
+    if (open > 0) openTunnels.set(address, open);
+    else openTunnels.delete(address);
+  }
 
   /** Returns the hosts to ask, in random order, so that several hosts share the work. */
   function listCarriers(): readonly HostId[] {
@@ -131,7 +141,11 @@
       carried += 1;
       try {
         const server = await connectSocket(address, CONNECT_TIMEOUT_MS);
-        server.once('close', () => (carried -= 1));
+        addOpen(address, 1);
+        server.once('close', () => {
+          carried -= 1;
+          addOpen(address, -1);
+        });
         return {
           reply: { outcome: 'open', detail: '' },
           attach: (peer) => joinSockets(peer, server),
@@ -147,5 +161,6 @@
       }
     },
     countCarried: () => carried,
+    isCarrying: (address) => openTunnels.has(address),
   };
 }
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -1,9 +1,4 @@
-import {
-  createNotRunFailure,
-  mergeExecution,
-  NO_LONGER_NEEDED,
-  type Failure,
-} from '@endiveferry/base';
+import { mergeExecution, NO_LONGER_NEEDED } from '@endiveferry/base';
 import type { ResponseStart } from '@endiveferry/routing';
 
 import type {
@@ -12,6 +7,7 @@
   ForwardOptions,
   ForwardRequest,
 } from './ForwardRequest.js';
+import { buildForwardFailure } from './buildForwardFailure.js';
 import { checkSuspects } from './checkSuspects.js';
 import { createStreamRelay } from './createStreamRelay.js';
 import { abortOnTimeout } from './abortOnTimeout.js';
@@ -165,30 +161,6 @@
   return true;
 }
 
-function buildFailure(state: ForwardState, outcome: AttemptOutcome | undefined): Failure {
-  const { request, options, execution } = state;
-  if (request.connection.signal.aborted) {
-    return { reason: 'cancelled', detail: 'the caller disconnected', execution };
-  }
-  if (options.clock.now() >= request.endAt && execution !== 'not-run') {
-    return { reason: 'deadline-exceeded', detail: 'no response before the deadline', execution };
-  }
-  if (outcome === undefined || isWithheld(outcome)) {
-    return createNotRunFailure(
-      'no-backend-server',
-      `no server of pool ${request.poolId} is usable`,
-    );
-  }
-  const reasons = { refused: 'server-refused', 'failure-answer': 'server-error' } as const;
-  if (outcome.kind === 'success') throw new Error('a successful attempt has no failure');
-  const reason = 'reason' in outcome ? outcome.reason : reasons[outcome.kind];
-  const detail =
-    'detail' in outcome
-      ? outcome.detail
-      : `the backend server responded with status ${outcome.response.status}`;
-  return { reason, detail, execution };
-}
-
 /** Sends the last attempt's response to the caller if it may be forwarded, else a failure. */
 function sendResponse(state: ForwardState, outcome: AttemptOutcome | undefined): ForwardOutcome {
   const { request, options } = state;
@@ -207,7 +179,7 @@
     // The events of a complete stream were forwarded as they arrived.
     if (outcome.kind === 'success') return { ...common, failure: undefined, status };
   }
-  const failure = buildFailure(state, outcome);
+  const failure = buildForwardFailure(state, outcome);
   if (responder.hasStarted()) {
     responder.abort();
     return { ...common, failure, status: undefined };
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -1,4 +1,4 @@
-import { limitReportSchema } from '@endiveferry/admission';
+import { backoffReportSchema, limitReportSchema } from '@endiveferry/admission';
 import {
   availabilityZoneIdSchema,
   backendServerIdSchema,
@@ -62,6 +62,8 @@
   suspects: z.array(suspectReportSchema).default([]),
   /** Limits that backend servers have named, and those that ended recently. */
   limits: z.array(limitReportSchema).default([]),
+  /** Backoffs that backend servers have requested from hosts that share connections. */
+  backoffs: z.array(backoffReportSchema).default([]),
   /** Backend servers that have said that they leave. */
   leaving: z.array(leavingReportSchema).default([]),
   /** Software versions that the sender has seen listed; absent from hosts that don't track them. */
--- a/tools/run-soak.mjs
+++ b/tools/run-soak.mjs
@@ -16,6 +16,8 @@
   'packages/relay/dist/lib/createConfigurationTracker.test.js',
   'packages/relay/dist/lib/crashReports.test.js',
   'packages/relay/dist/lib/limitReports.test.js',
+  'packages/relay/dist/lib/leavingReports.test.js',
+  'packages/relay/dist/lib/requestedBackoffs.test.js',
   'packages/relay/dist/lib/streams/streamOrigins.test.js',
   'packages/relay/dist/lib/pieces/dispatcherInvariants.test.js',
 ];
