Accept only addresses that can be connected to, and decode peers' lists by entry

Servers that joined after an odd entry (a port of 70000, an octet of 999) got no requests from any host; callers noticed only when the old servers were gone.

Cause: the decoder checked the form of addresses, not their ranges. Creating the connections of such a server threw on each later change of the list, before the entries after it were applied.

--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -27,6 +27,7 @@
 import type { DualClock } from './createDualClock.js';
 import {
   configurationReplySchema,
+  listedServerSchema,
   serverListReplySchema,
   relayHeartbeatCodec,
   type RelayHeartbeat,
@@ -226,7 +227,15 @@
   );
 
   const readServers = createReader('read-servers', 'the list of backend servers', (body, from) => {
-    const { servers: listed, ...position } = serverListReplySchema.parse(body);
+    const { servers: entries, ...position } = serverListReplySchema.parse(body);
+    const listed = entries.flatMap((entry) => {
+      const server = listedServerSchema.safeParse(entry);
+      if (server.success) return [server.data];
+      const [issue] = server.error.issues;
+      const reason = `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'malformed'}`;
+      logger.warn('an entry of the backend server list is invalid', { peer: from, reason });
+      return [];
+    });
     if (isAfter(position, servers.position())) servers.replace(listed, position, `host ${from}`);
   });
 
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -10,6 +10,7 @@
   suspectReportSchema,
 } from '@endiveferry/base';
 import type { HeartbeatCodec } from '@endiveferry/peers';
+import { serverAddressSchema } from '@endiveferry/settings';
 import { z } from 'zod';
 
 import { leavingReportSchema } from './createLeavingServers.js';
@@ -155,10 +156,11 @@
   confirmedAgeMs: z.number().optional(),
 });
 
-const listedServerSchema = z.object({
+/** Schema of a backend server that another host lists. @internal */
+export const listedServerSchema = z.object({
   serverId: backendServerIdSchema,
   poolId: poolIdSchema,
-  address: z.string(),
+  address: serverAddressSchema,
   availabilityZone: availabilityZoneIdSchema,
   slots: z.number(),
   isLeaving: z.boolean(),
@@ -170,5 +172,6 @@
 export const serverListReplySchema = z.object({
   epoch: z.int().default(0),
   revision: z.int(),
-  servers: z.array(listedServerSchema),
+  /** Each is decoded by itself: hosts of other builds may list what this one does not accept. */
+  servers: z.array(z.unknown()),
 });
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -20,7 +20,7 @@
   formatPath,
   type ConfigurationIssue,
 } from './lib/ConfigurationIssue.js';
-export { isLoopback, parseAddress } from './lib/fields.js';
+export { addressSchema, isLoopback, parseAddress, serverAddressSchema } from './lib/fields.js';
 export {
   processSettingsSchema,
   type ProcessSettings,
--- a/packages/settings/src/lib/fields.ts
+++ b/packages/settings/src/lib/fields.ts
@@ -1,14 +1,22 @@
+import { isIP } from 'node:net';
+
 import { z } from 'zod';
 
 /** Matches `ip:port` and captures the port; port 0 lets the operating system choose a free one. */
 const addressPattern = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
 
-/** Schema of `ip:port`; host names are not accepted, so no connection waits for DNS. @internal */
+/** Schema of `ip:port`; host names are not accepted, so no connection waits for DNS. @public */
 export const addressSchema = z.string().refine((text) => {
   const match = addressPattern.exec(text);
-  return match !== null && Number(match[1]) <= 65_535;
+  return match !== null && Number(match[1]) <= 65_535 && isIP(parseAddress(text).ip) !== 0;
 }, 'must be an IP address and a port, such as 10.0.0.7:7100 or [::1]:7100');
 
+/** Schema of the address of a server, whose port is known. @public */
+export const serverAddressSchema = addressSchema.refine(
+  (text) => parseAddress(text).port > 0,
+  'must have a port above 0',
+);
+
 /** Schema of a share, from 0 to 1. @internal */
 export const shareSchema = z.number().min(0).max(1);
 
