Ask other hosts where a stream began unless there is a record of it

Without a record, a host needs another host's answer, given after the stream is taken up. Answers carry the versions that the other host has seen; earlier builds ignore them, and their answers without them are accepted. If nobody answers, the caller is told at once to try again; a host without others goes by its own list.

--- a/packages/relay/src/lib/streams/createStreamOrigins.ts
+++ b/packages/relay/src/lib/streams/createStreamOrigins.ts
@@ -1,5 +1,6 @@
 import {
   createNotRunFailure,
+  requestIdSchema,
   NO_LONGER_NEEDED,
   waitFor,
   type Clock,
@@ -18,6 +19,7 @@
 import {
   streamOriginSchema,
   streamRecordSchema,
+  versionReportSchema,
   type StreamOrigin,
   type StreamRecord,
 } from './StreamOrigin.js';
@@ -32,7 +34,13 @@
 
 const recordsSchema = z.object({ records: z.array(streamRecordSchema) });
 const findRequestSchema = z.object({ requestId: streamRecordSchema.shape.requestId });
-const findReplySchema = z.object({ origin: streamOriginSchema.optional() });
+const findReplySchema = z.object({
+  origin: streamOriginSchema.optional(),
+  /** Versions that the replying host has seen listed; absent from hosts of earlier builds. */
+  versions: versionReportSchema.optional(),
+});
+/** Stands for a stream whose first request the caller does not name; nobody has its record. */
+const UNNAMED_STREAM = requestIdSchema.parse('unnamed');
 
 /** A stream that a caller takes up. @internal */
 export interface ResumedStream {
@@ -44,6 +52,13 @@
   readonly poolIds: readonly PoolId[];
 }
 
+/** What is known of a stream's origin, and whether it could be asked. */
+interface FoundOrigin {
+  readonly origin: StreamOrigin | undefined;
+  /** Whether another host has answered, or need not be asked. */
+  readonly hasAnswer: boolean;
+}
+
 /**
  * Knows which software version began each stream, over all hosts.
  *
@@ -106,35 +121,57 @@
     }
   }
 
-  async function ask(hostId: HostId, requestId: RequestId): Promise<StreamOrigin> {
+  /** Asks a host where a stream began; rejects when neither it nor the versions it knows tell. */
+  async function ask(
+    hostId: HostId,
+    requestId: RequestId,
+    poolId: PoolId,
+    onAnswer: () => void,
+  ): Promise<StreamOrigin> {
     const reply = await findFleet().request(hostId, 'find-stream', { requestId }, FIND_TIMEOUT_MS);
-    const origin = reply.isOk() ? findReplySchema.parse(reply.value).origin : undefined;
-    if (origin === undefined) throw new Error('the host does not know the stream');
-    return origin;
+    if (reply.isErr()) throw new Error(reply.error.detail);
+    onAnswer();
+    const { origin, versions } = findReplySchema.parse(reply.value);
+    if (versions !== undefined) history.applyReport(versions);
+    const found = origin ?? history.findOnlyOrigin(poolId);
+    if (found === undefined) throw new Error('the host does not know the stream');
+    return found;
   }
 
-  /** Asks the hosts that hold the record of a stream; undefined when none of them has it. */
-  async function findAtOtherHosts(requestId: RequestId): Promise<StreamOrigin | undefined> {
-    const answers = findFleet()
-      .listRecordHolders(requestId)
-      .map((hostId) => ask(hostId, requestId));
+  /** Asks the hosts that hold the record of a stream; without an origin when none of them can tell. */
+  async function findAtOtherHosts(
+    holders: readonly HostId[],
+    requestId: RequestId,
+    poolId: PoolId,
+  ): Promise<FoundOrigin> {
+    let hasAnswer = false;
+    const answers = holders.map((hostId) =>
+      ask(hostId, requestId, poolId, () => (hasAnswer = true)),
+    );
     const timeout = new AbortController();
     const expired = waitFor(clock, FIND_TIMEOUT_MS, timeout.signal).then(() => undefined);
     // It rejects when no host knows the stream.
     const known = Promise.any(answers).catch(() => undefined);
     const origin = await Promise.race([known, expired]);
     timeout.abort(NO_LONGER_NEEDED);
-    if (origin !== undefined) records.add({ requestId, ...origin }, true);
-    return origin;
+    if (origin !== undefined && requestId !== UNNAMED_STREAM)
+      records.add({ requestId, ...origin }, true);
+    return { origin, hasAnswer };
   }
 
-  async function findOrigin({ requestId, poolId }: ResumedStream) {
-    const known = requestId === undefined ? undefined : records.find(requestId);
-    return (
-      known ??
-      history.findOnlyOrigin(poolId) ??
-      (requestId === undefined ? undefined : await findAtOtherHosts(requestId))
-    );
+  /**
+   * Finds where a stream began. Without a record of its own, a host that has been cut off or has stood
+   * still may not know of a version that others use, so it needs another host's answer.
+   */
+  async function findOrigin({
+    requestId = UNNAMED_STREAM,
+    poolId,
+  }: ResumedStream): Promise<FoundOrigin> {
+    const known = records.find(requestId);
+    if (known !== undefined) return { origin: known, hasAnswer: true };
+    const holders = findFleet().listRecordHolders(requestId);
+    if (holders.length === 0) return { origin: history.findOnlyOrigin(poolId), hasAnswer: true };
+    return findAtOtherHosts(holders, requestId, poolId);
   }
 
   const requestHandlers: Partial<Record<string, (body: unknown) => unknown>> = {
@@ -142,7 +179,10 @@
       for (const record of recordsSchema.parse(body).records) records.add(record, true);
       return true;
     },
-    'find-stream': (body) => ({ origin: records.find(findRequestSchema.parse(body).requestId) }),
+    'find-stream': (body) => ({
+      origin: records.find(findRequestSchema.parse(body).requestId),
+      versions: history.buildReport(),
+    }),
   };
 
   return {
@@ -152,12 +192,14 @@
       if (isNeeded) share(record);
     },
     async resolve(stream) {
-      const origin = await findOrigin(stream);
+      const { origin, hasAnswer } = await findOrigin(stream);
       if (origin === undefined) {
-        const isLearning = clock.now() - startedAt < LEARNING_MS;
+        const isLearning = !hasAnswer || clock.now() - startedAt < LEARNING_MS;
         return reject(
           stream,
-          'several software versions may have begun the stream',
+          hasAnswer
+            ? 'several software versions may have begun the stream'
+            : 'no other host answers, so this one may not know all software versions',
           isLearning ? LEARNING_RETRY_MS : undefined,
         );
       }
