--- a/apps/daemon/src/lib/relay/createServerStatus.ts
+++ b/apps/daemon/src/lib/relay/createServerStatus.ts
@@ -16,7 +16,11 @@
 import type { Dispatchers } from './createDispatchers.js';
 import { listLimitSenders } from './listLimitSenders.js';
 
-/** What this host knows of the backend servers, from the store, their responses and other hosts. @internal */
+/**
+ * What this host knows of the backend servers, from the store, their responses and other hosts.
+ *
+ * @internal
+ */
 export interface ServerStatus {
   readonly servers: ServerList;
   readonly leaving: LeavingServers;
