Announce a start of a server that is over only once

After a server that had said that it leaves had started again under its id, a host with a new list forgot the earlier start. Each heartbeat of a host with an older list then counted as news: a log line and an announcement at once, which the other host answered with the same report. No request went wrong.

The record of the earlier start is kept until it expires; it says nothing of the later one, since starts are compared. Found by reading the change; the test saw 11 announcements and log lines for 10 repeated reports, now 1. The property tests of leaving servers at 6, 20 and 70 hosts pass.

--- a/packages/relay/src/lib/createLeavingServers.ts
+++ b/packages/relay/src/lib/createLeavingServers.ts
@@ -113,8 +113,8 @@
         const isCurrent = server !== undefined && isSameOrLater(known.server, server);
         known.isReady = isCurrent && !server.isLeaving;
         if (isCurrent) known.listedAt = clock.now();
-        const hasStartedAgain = server !== undefined && !isCurrent;
-        if (hasStartedAgain || clock.now() - known.listedAt > MEMORY_MS) leaving.delete(serverId);
+        // Kept after the server has started again: hosts with an older list still report it.
+        if (clock.now() - known.listedAt > MEMORY_MS) leaving.delete(serverId);
       }
     },
     applyReports(reports, source) {
