--- a/apps/bench/src/lib/runBench.ts
+++ b/apps/bench/src/lib/runBench.ts
@@ -12,6 +12,7 @@
   runRollingRestart,
 } from './experiments/fleetExperiments.js';
 import { runOverhead } from './experiments/overhead.js';
+import { runHostCost } from './hostCost/runHostCost.js';
 import { runScenario, type SystemResult } from './runScenario.js';
 import { createAffinityScenario } from './scenarios/createAffinityScenario.js';
 import { deadServer, silent, slowStage } from './scenarios/faultScenarios.js';
@@ -57,6 +58,7 @@
   partition: runPartition,
   pause: runPause,
   'control-cost': runControlCost,
+  'host-cost': runHostCost,
 };
 
 function printTargets(name: string, result: Pick<SystemResult, 'targets'>): void {
--- a/packages/base/src/lib/hash.ts
+++ b/packages/base/src/lib/hash.ts
@@ -1,6 +1,4 @@
-import createXxhash from 'xxhash-wasm';
-
-const xxhash = await createXxhash();
+import { computeXxhash } from './computeXxhash.js';
 
 /**
  * Computes the 32-bit xxHash of a text, which is the same on every host.
@@ -11,7 +9,7 @@
  * @public
  */
 export function computeHash(text: string, seed = 0): number {
-  return xxhash.h32(text, seed);
+  return computeXxhash(text, seed);
 }
 
 /**
