Sort hosts and sum heartbeats once for many decisions, and link to new hosts by the batch

Cause: with 194 other hosts, each host added sorted all for the links (195 times in two seconds); each heartbeat sorted all live hosts for each stage pool, each choice of an engine went through all heartbeats once per engine, each call listed all servers to find those of its pool; each heartbeat made two abort signals and left a keepalive check behind that woke the process once more.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -30,6 +30,7 @@
 import { createDispatchers } from './createDispatchers.js';
 import { createHeartbeatContent } from './createHeartbeatContent.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
+import { createPendingTokens } from './createPendingTokens.js';
 import { createMetricsListener } from './createMetricsListener.js';
 import { createReadinessListener } from './createReadinessListener.js';
 import { createRelayListener } from './createRelayListener.js';
@@ -39,7 +40,6 @@
 import { createStoreListener } from './createStoreListener.js';
 import { createStreamTracking } from './createStreamTracking.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
-import { sumPendingTokens } from './sumPendingTokens.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -178,7 +178,10 @@
     origins: streams.origins,
     stages,
     countHosts,
-    countOtherHostsTokens: (serverId) => sumPendingTokens(fleet.listHeartbeats(), serverId),
+    countOtherHostsTokens: createPendingTokens({
+      clock,
+      listHeartbeats: () => fleet.listHeartbeats(),
+    }),
     estimateWaitMs: waits.estimateMs,
     isRejecting: () => isRejecting,
     onServerReplaced,
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -202,6 +202,8 @@
         const finish = (result: Result<unknown, PeerFailure>) => {
           cancelTimer();
           pending.delete(id);
+          // Without it, each request would wake the process once more.
+          if (pending.size === 0) keepalive?.stop();
           resolve(result);
           if (isClosing) closeIfIdle();
         };
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -1,4 +1,4 @@
-import { describeError, NO_LONGER_NEEDED, waitFor, type HostId } from '@endiveferry/base';
+import { describeError, isAborted, waitFor, type HostId } from '@endiveferry/base';
 import { parseAddress } from '@endiveferry/settings';
 import { err } from 'neverthrow';
 
@@ -109,11 +109,15 @@
   }
 
   /** Waits until the next heartbeat is due, or until `link.wake` is called. */
-  function waitForHeartbeat(link: Link<HeartbeatBody>, signal: AbortSignal): Promise<void> {
-    const wake = new AbortController();
-    link.wake = () => wake.abort(NO_LONGER_NEEDED);
+  function waitForHeartbeat(link: Link<HeartbeatBody>): Promise<void> {
     const intervalMs = getHeartbeatIntervalMs() * (0.9 + random.nextFraction() * 0.2);
-    return waitFor(clock, intervalMs, AbortSignal.any([signal, wake.signal]));
+    return new Promise((resolve) => {
+      const cancel = clock.schedule(intervalMs, resolve);
+      link.wake = () => {
+        cancel();
+        resolve();
+      };
+    });
   }
 
   async function runHeartbeats(
@@ -126,11 +130,12 @@
       const isAnswered = await exchangeHeartbeat(link, connection);
       missed = isAnswered ? 0 : missed + 1;
       link.machine.send(isAnswered ? 'answered' : 'missed');
-      if (isAnswered) await waitForHeartbeat(link, signal);
+      if (isAnswered && !isAborted(signal)) await waitForHeartbeat(link);
     }
   }
 
   async function runLink(link: Link<HeartbeatBody>, signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => link.wake(), { once: true });
     for (let retryDelayMs = INITIAL_RETRY_DELAY_MS; !signal.aborted;) {
       try {
         const connection = await openConnection(link.hostId);
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -86,6 +86,9 @@
   close(): Promise<void>;
 }
 
+/** A backend server with its health. */
+type CheckedBackend = Backend & { readonly health: ServerHealth };
+
 /** Options of the backend servers. @public */
 export interface BackendsOptions {
   readonly clock: Clock;
@@ -105,10 +108,21 @@
 export function createBackends(options: BackendsOptions): Backends {
   const { clock, random, logger } = options;
   const budget = createResponseBudget(MAX_RESPONSES_BYTES);
-  const backends = new Map<BackendServerId, Backend & { readonly health: ServerHealth }>();
+  const backends = new Map<BackendServerId, CheckedBackend>();
+
+  let backendsByPool: ReadonlyMap<PoolId, readonly CheckedBackend[]> = new Map();
+
+  const listPool = (poolId: PoolId) => backendsByPool.get(poolId) ?? [];
 
-  const listPool = (poolId: PoolId) =>
-    [...backends.values()].filter(({ server }) => server.poolId === poolId);
+  function groupByPool(): ReadonlyMap<PoolId, readonly CheckedBackend[]> {
+    const groups = new Map<PoolId, CheckedBackend[]>();
+    for (const backend of backends.values()) {
+      const group = groups.get(backend.server.poolId);
+      if (group === undefined) groups.set(backend.server.poolId, [backend]);
+      else group.push(backend);
+    }
+    return groups;
+  }
 
   function canEject(poolId: PoolId): boolean {
     const states = listPool(poolId);
@@ -222,6 +236,7 @@
           backends.set(serverId, { ...known, server });
         }
       }
+      backendsByPool = groupByPool();
     },
     find: (serverId) => backends.get(serverId),
     listPool,
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -11,6 +11,7 @@
 } from '@endiveferry/base';
 import {
   choosePeers,
+  createAnnouncer,
   createPeerNetwork,
   type AcceptTunnel,
   type HandleHostRequest,
@@ -37,7 +38,10 @@
 
 /** Time without data after which a connection with pending requests is closed, in milliseconds. */
 const KEEPALIVE_TIMEOUT_MS = 900;
-/** Time for which an order of dispatchers is cached, in milliseconds: each decision reads it. */
+/**
+ * Time for which an order of dispatchers is used without a check of the live hosts, in milliseconds:
+ * each decision reads it.
+ */
 const ORDER_CACHE_MS = 50;
 
 /** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
@@ -127,11 +131,18 @@
     clock,
     logger,
     random: options.random,
-    onChange: () => updatePeers(),
+    onChange: () => updatePeersSoon(),
   });
+  // While a fleet starts, hosts become known by the dozen, and each changes what to link to.
+  const updatePeersSoon = createAnnouncer(clock, () => updatePeers());
   const dispatcherOrders = new Map<
     PoolId,
-    { readonly at: number; readonly hosts: readonly HostId[] }
+    {
+      readonly at: number;
+      readonly live: ReadonlyMap<HostId, number>;
+      readonly isStopping: boolean;
+      readonly hosts: readonly HostId[];
+    }
   >();
 
   function buildHeartbeat(): RelayHeartbeat {
@@ -154,15 +165,18 @@
   function listDispatchers(poolId: PoolId): readonly HostId[] {
     const cached = dispatcherOrders.get(poolId);
     if (cached !== undefined && clock.now() - cached.at < ORDER_CACHE_MS) return cached.hosts;
-    const hosts = sortDispatchers(poolId);
-    dispatcherOrders.set(poolId, { at: clock.now(), hosts });
+    const live = members.listLive();
+    const isStopping = options.isStopping();
+    const isCurrent = cached?.live === live && cached.isStopping === isStopping;
+    const hosts = isCurrent ? cached.hosts : sortDispatchers(poolId, live);
+    dispatcherOrders.set(poolId, { at: clock.now(), live, isStopping, hosts });
     return hosts;
   }
 
-  function sortDispatchers(poolId: PoolId): readonly HostId[] {
-    const live = new Map(members.listLive());
-    if (!options.isStopping() || live.size === 0) live.set(hostId, weight);
-    return computeWeightedOrder(poolId, live);
+  function sortDispatchers(poolId: PoolId, live: ReadonlyMap<HostId, number>): readonly HostId[] {
+    const weights = new Map(live);
+    if (!options.isStopping() || live.size === 0) weights.set(hostId, weight);
+    return computeWeightedOrder(poolId, weights);
   }
 
   /** Dispatchers exchange waiting times, so they are linked directly in a fleet of any size. */
--- a/packages/relay/src/lib/createMembership.ts
+++ b/packages/relay/src/lib/createMembership.ts
@@ -43,7 +43,10 @@
   /** Returns the other hosts whose heartbeat any host has received recently. */
   readonly listKnown: () => readonly HostId[];
   readonly countKnown: () => number;
-  /** Returns the other hosts that accept work, with their weights. */
+  /**
+   * Returns the other hosts that accept work, with their weights; the same map until one of them
+   * changes.
+   */
   readonly listLive: () => ReadonlyMap<HostId, number>;
   /** Returns the live hosts that reach most backend servers, as far as they have reported. */
   readonly listCarriers: () => readonly HostId[];
@@ -94,6 +97,7 @@
   const { clock, logger } = options;
   const known = new Map<HostId, KnownHost>();
   let linked: ReadonlySet<HostId> = new Set();
+  let live: ReadonlyMap<HostId, number> = new Map();
 
   const findIntervalMs = () =>
     isFullyLinked(known.size + 1) ? HEARTBEAT_INTERVAL_MS : LARGE_HEARTBEAT_INTERVAL_MS;
@@ -143,6 +147,21 @@
       : clock.now() - lastSeenAt < INDIRECT_LIVE_MS;
   }
 
+  /** Returns the weight of a host that accepts work. */
+  const findLiveWeight = (id: HostId, host: KnownHost) =>
+    isLive(id, host) && !host.isStopping ? host.weight : undefined;
+
+  /** Whether the live hosts or their weights differ from those that were listed last. */
+  function hasLiveChanged(): boolean {
+    let count = 0;
+    for (const [id, host] of known) {
+      const weight = findLiveWeight(id, host);
+      if (weight !== live.get(id)) return true;
+      if (weight !== undefined) count += 1;
+    }
+    return count !== live.size;
+  }
+
   return {
     recordHeartbeat(id, heartbeat) {
       if (id === options.hostId) return;
@@ -158,12 +177,16 @@
     },
     listKnown: () => [...known.keys()],
     countKnown: () => known.size,
-    listLive: () =>
-      new Map(
-        [...known].flatMap(([id, host]) =>
-          isLive(id, host) && !host.isStopping ? [[id, host.weight] as const] : [],
-        ),
-      ),
+    listLive() {
+      if (!hasLiveChanged()) return live;
+      live = new Map(
+        [...known].flatMap(([id, host]) => {
+          const weight = findLiveWeight(id, host);
+          return weight === undefined ? [] : [[id, weight] as const];
+        }),
+      );
+      return live;
+    },
     listCarriers: () =>
       [...known].flatMap(([id, host]) =>
         isLive(id, host) && !host.isStopping && host.heartbeat?.isCutOff !== true ? [id] : [],
