Let a dispatcher look at its queue only when a replica is free, and send notices without replies

For each group they looked at the whole queue several times while all replicas were busy, summed all results of a replica at each decision, checked messages with a schema, and exchanged two messages for each notice of fetched inputs and freed results.

--- a/apps/bench/src/lib/hostCost/runHostCost.ts
+++ b/apps/bench/src/lib/hostCost/runHostCost.ts
@@ -12,6 +12,10 @@
 const CALLS_PER_SECOND = 20;
 const COLD_CALLS = 40;
 const WARM_CALLS = 200;
+const GROUPS = 600;
+const GROUPS_PER_SECOND = 100;
+const PIECES_PER_GROUP = 12;
+const INPUTS_PER_GROUP = 8;
 const CALLER_CONNECTIONS = 20;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -25,6 +29,8 @@
 
 /** What one host costs in a fleet of one size. @public */
 export interface HostCost {
+  /** Processor time of a group of pieces at its dispatcher, in milliseconds. */
+  readonly groupMs: number | undefined;
   readonly peers: number;
   readonly servers: number;
   /** Processor time from the start to each second, in milliseconds. */
@@ -92,6 +98,47 @@
   };
 }
 
+/** Sends groups of a following stage at a fixed rate and returns what each costs at the dispatcher. */
+async function measureGroups(
+  { host, sendPieces }: HostWorld,
+  restMsPerSecond: number,
+): Promise<{ readonly callMs: number; readonly failed: number }> {
+  const startedAt = performance.now();
+  const before = measureProcess(host.pid).processorMs;
+  const pending: Promise<boolean>[] = [];
+  for (let index = 0; index < GROUPS; index += 1) {
+    const group = {
+      poolId: 'pack',
+      orderId: `group-${index}`,
+      requestId: `group-${index}`,
+      stageIndex: 1,
+      pieceCount: PIECES_PER_GROUP,
+      rank: 1,
+      inputs: Array.from(
+        { length: INPUTS_PER_GROUP },
+        (_, input) => `10.1.64.9:8080/${input}-made`,
+      ),
+      homeZone: 'zone-a',
+      movedBytes: 1_000,
+      isEntry: false,
+      followers: [],
+      inputsRemainingMs: 4_000,
+      resultBytes: 500,
+      remainingMs: 3_000,
+      targetRemainingMs: 1_000,
+    };
+    pending.push(sendPieces(group));
+    await waitMs(MILLISECONDS_PER_SECOND / GROUPS_PER_SECOND);
+  }
+  const answered = await Promise.all(pending);
+  const usedMs = measureProcess(host.pid).processorMs - before;
+  const seconds = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
+  return {
+    callMs: (usedMs - seconds * restMsPerSecond) / GROUPS,
+    failed: answered.filter((isAnswered) => !isAnswered).length,
+  };
+}
+
 /**
  * Measures what one host costs: its start together with all others, its rest, and calls.
  *
@@ -119,7 +166,10 @@
         failed: cold.failed + warm.failed,
       };
     }
-    return { peers: size.peers, servers: size.servers, ...start, callMs };
+    const groupMs = size.isDispatcher
+      ? (await measureGroups(world, start.restMsPerSecond)).callMs
+      : undefined;
+    return { groupMs, peers: size.peers, servers: size.servers, ...start, callMs };
   } finally {
     await world.close();
   }
--- a/apps/bench/src/lib/hostCost/startHostWorld.ts
+++ b/apps/bench/src/lib/hostCost/startHostWorld.ts
@@ -23,13 +23,14 @@
 import type { ListedServer } from '@endiveferry/relay';
 import { z } from 'zod';
 
-import { startSimulatedPeers } from './startSimulatedPeers.js';
+import { startSimulatedPeers, type SimulatedPeers } from './startSimulatedPeers.js';
 
 const HOST_IP = '127.0.0.1';
 const TARGET = fileURLToPath(new URL('../../../../../target/', import.meta.url));
 const GRACE_SECONDS = 8;
 const STREAM_EVENTS = 40;
 const EVENT_INTERVAL_MS = 12;
+const STAGE_CALL_MS = 20;
 /** Time within which all servers register after the start, in milliseconds. */
 const REGISTRATION_MS = 4_000;
 /** Services of the servers, in turn. */
@@ -53,6 +54,8 @@
 /** One host in a process of its own, among stand-ins of all else. @internal */
 export interface HostWorld {
   readonly host: HostProcess;
+  /** Sends a group of pieces to the host as another host does; returns whether it was answered. */
+  readonly sendPieces: SimulatedPeers['sendPieces'];
   /** Returns the number of calls that the store has received. */
   readonly countStoreCalls: () => number;
   close(): Promise<void>;
@@ -133,6 +136,7 @@
         store: recordingStore,
         events: STREAM_EVENTS,
         eventIntervalMs: EVENT_INTERVAL_MS,
+        stageCallMs: STAGE_CALL_MS,
       }),
     );
   };
@@ -153,6 +157,7 @@
   );
   return {
     host,
+    sendPieces: peers.sendPieces,
     countStoreCalls: () => store.countRequests(),
     async close() {
       for (const timer of timers) clearTimeout(timer);
--- a/apps/bench/src/lib/hostCost/startSimulatedPeers.ts
+++ b/apps/bench/src/lib/hostCost/startSimulatedPeers.ts
@@ -15,6 +15,7 @@
 /** Interval between heartbeats of a host of a large fleet, in milliseconds. */
 const HEARTBEAT_INTERVAL_MS = 1_000;
 const REPORTED_HOSTS = 16;
+const PIECES_TIMEOUT_MS = 5_000;
 const HOSTS_PER_SUBNET = 250;
 const ZONE_COUNT = 5;
 
@@ -45,6 +46,8 @@
 export interface SimulatedPeers {
   /** Addresses of the hosts that a new host contacts first. */
   readonly seeds: readonly string[];
+  /** Sends a group of pieces to the measured host; returns whether it was answered. */
+  readonly sendPieces: (body: unknown) => Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -138,6 +141,11 @@
     if (id !== undefined && choosePeers(id, zones).includes(hostId)) network.setPeers([hostId]);
   }
   return {
+    async sendPieces(body) {
+      const network = networks[random.nextInteger(networks.length)];
+      const reply = await network?.request(hostId, 'run-pieces', body, PIECES_TIMEOUT_MS);
+      return reply?.isOk() === true;
+    },
     seeds: ids.slice(0, 3).map((id) => `${id}:${options.port}`),
     async close() {
       await Promise.all(networks.map((network) => network.close()));
--- a/packages/peers/src/lib/PeerNetwork.ts
+++ b/packages/peers/src/lib/PeerNetwork.ts
@@ -91,6 +91,11 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerFailure>>;
+  /**
+   * Sends a request to another host for which no reply is needed, over its link or else over an
+   * on-demand connection. It is lost when the host cannot be reached.
+   */
+  notify(hostId: HostId, kind: PeerRequestKind, body: unknown): void;
   /**
    * Asks another host for a tunnel, over a connection of its own.
    *
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import { createKeepaliveMonitor } from './createKeepaliveMonitor.js';
-import { peerMessageSchema, type PeerMessage, type PeerRequestKind } from './messages.js';
+import { parsePeerMessage, type PeerMessage, type PeerRequestKind } from './messages.js';
 
 const LENGTH_PREFIX_BYTES = 4;
 /** Maximum length of a message, in bytes; a configuration can take up several megabytes. */
@@ -49,6 +49,8 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerFailure>>;
+  /** Sends a request without waiting for a reply; does nothing when the connection is closed. */
+  notify(kind: PeerRequestKind, body: unknown): void;
   /**
    * Ends the exchange of messages and returns the socket, paused, for bytes of another protocol. No
    * request may be pending.
@@ -141,11 +143,16 @@
     socket.uncork();
   }
 
-  async function sendReply(id: number, kind: PeerRequestKind, body: unknown): Promise<void> {
+  async function handleRequestMessage(
+    id: number,
+    kind: PeerRequestKind,
+    body: unknown,
+    isNotice = false,
+  ): Promise<void> {
     try {
       // A ping checks that this host responds, so it bypasses the request handler.
       const reply = kind === 'ping' || (await handleRequest(kind, body, disconnect.signal));
-      send({ type: 'reply', id, body: reply });
+      if (!isNotice) send({ type: 'reply', id, body: reply });
     } catch (error) {
       send({ type: 'refusal', id, detail: describeError(error) });
     }
@@ -154,19 +161,19 @@
   const messageHandlers: {
     [Type in PeerMessage['type']]: (message: Extract<PeerMessage, { type: Type }>) => void;
   } = {
-    request: ({ id, kind, body }) => void sendReply(id, kind, body),
+    request: ({ id, kind, body, isNotice }) => void handleRequestMessage(id, kind, body, isNotice),
     reply: ({ id, body }) => pending.get(id)?.finish(ok(body)),
     refusal: ({ id, detail }) => pending.get(id)?.finish(err({ kind: 'refused', detail })),
   };
 
   function handleFrame(frame: Buffer): void {
-    const message = peerMessageSchema.safeParse(decoder.decode(frame));
-    if (!message.success) {
+    const message = parsePeerMessage(decoder.decode(frame));
+    if (message === undefined) {
       socket.destroy(new Error('received a malformed message'));
       return;
     }
-    const handle = messageHandlers[message.data.type] as (message: PeerMessage) => void;
-    handle(message.data);
+    const handle = messageHandlers[message.type] as (message: PeerMessage) => void;
+    handle(message);
   }
 
   const readFrames = createFrameReader(handleFrame);
@@ -215,6 +222,9 @@
         send({ type: 'request', id, kind, body });
       });
     },
+    notify(kind, body) {
+      send({ type: 'request', id: createId(), kind, body, isNotice: true });
+    },
     detach() {
       keepalive?.stop();
       socket.off('data', receive);
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -172,6 +172,12 @@
     link.stop = supervisor.spawn(`link-${hostId}`, (signal) => runLink(link, signal));
   }
 
+  function findOpenLink(hostId: HostId): PeerConnection | undefined {
+    const link = links.get(hostId);
+    const isUsable = link?.connection?.isOpen() === true && link.machine.current() === 'up';
+    return isUsable ? link.connection : undefined;
+  }
+
   const listener: PeerListener = await startPeerListener({ ...options, handleRequest });
 
   return {
@@ -189,10 +195,8 @@
       }
     },
     async request(hostId, kind, body, timeoutMs) {
-      const link = links.get(hostId);
-      if (link?.connection?.isOpen() === true && link.machine.current() === 'up') {
-        return link.connection.request(kind, body, timeoutMs);
-      }
+      const linked = findOpenLink(hostId);
+      if (linked !== undefined) return linked.request(kind, body, timeoutMs);
       try {
         const connection = await onDemandConnections.get(hostId);
         return await connection.request(kind, body, timeoutMs);
@@ -200,6 +204,22 @@
         return err({ kind: 'not-sent', detail: describeError(error) });
       }
     },
+    notify(hostId, kind, body) {
+      const linked = findOpenLink(hostId);
+      if (linked !== undefined) {
+        linked.notify(kind, body);
+        return;
+      }
+      onDemandConnections.get(hostId).then(
+        (connection) => connection.notify(kind, body),
+        (error: unknown) =>
+          logger.debug('notice to peer not sent', {
+            peer: hostId,
+            kind,
+            error: describeError(error),
+          }),
+      );
+    },
     async openTunnel(hostId, body, timeoutMs) {
       const connection = await openConnection(hostId);
       const reply = await connection.request('open-tunnel', body, timeoutMs);
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -52,6 +52,8 @@
     id: z.int(),
     kind: requestKindSchema,
     body: z.unknown(),
+    /** Whether the sender waits for no reply; hosts of earlier builds send one all the same. */
+    isNotice: z.boolean().optional(),
   }),
   z.object({ type: z.literal('reply'), id: z.int(), body: z.unknown() }),
   z.object({ type: z.literal('refusal'), id: z.int(), detail: z.string() }),
@@ -60,6 +62,37 @@
 /** A message on a connection between hosts. @internal */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 
+const requestKinds: ReadonlySet<unknown> = new Set(requestKindSchema.options);
+
+const messageChecks: Readonly<Record<string, (message: Record<string, unknown>) => boolean>> = {
+  request: (message) =>
+    'body' in message &&
+    requestKinds.has(message.kind) &&
+    (message.isNotice === undefined || typeof message.isNotice === 'boolean'),
+  reply: (message) => 'body' in message,
+  refusal: ({ detail }) => typeof detail === 'string',
+};
+
+/**
+ * Checks a message as {@link peerMessageSchema} does, at a fraction of its cost: each message between
+ * hosts passes it.
+ *
+ * @param value - the decoded message
+ * @returns the message; undefined when it is malformed
+ * @internal
+ */
+export function parsePeerMessage(value: unknown): PeerMessage | undefined {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return undefined;
+  const message = value as Record<string, unknown>;
+  const { type } = message;
+  const check =
+    typeof type === 'string' && Object.hasOwn(messageChecks, type)
+      ? messageChecks[type]
+      : undefined;
+  if (check === undefined || !Number.isSafeInteger(message.id) || !check(message)) return undefined;
+  return value as PeerMessage;
+}
+
 /** Version of the protocol; hosts reject connections of other versions. @internal */
 export const PROTOCOL_VERSION = 1;
 
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -1,5 +1,4 @@
 import {
-  computeWeightedOrder,
   createRandom,
   hostIdSchema,
   type Clock,
@@ -23,6 +22,7 @@
 import { computeHostWeight } from './computeHostWeight.js';
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
 import { createMembership, type Membership } from './createMembership.js';
+import { createDispatcherOrder } from './createDispatcherOrder.js';
 import { createPeerReader } from './createPeerReader.js';
 import type { ServerList } from './createServerList.js';
 import type { DualClock } from './createDualClock.js';
@@ -38,12 +38,6 @@
 
 /** Time without data after which a connection with pending requests is closed, in milliseconds. */
 const KEEPALIVE_TIMEOUT_MS = 900;
-/**
- * Time for which an order of dispatchers is used without a check of the live hosts, in milliseconds:
- * each decision reads it.
- */
-const ORDER_CACHE_MS = 50;
-
 /** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
 export type HandleFleetRequest = (
   ...request: Parameters<HandleHostRequest>
@@ -67,6 +61,7 @@
   readonly countHosts: () => number;
   readonly listRecordHolders: Membership['listRecordHolders'];
   readonly request: PeerNetwork<RelayHeartbeat>['request'];
+  readonly notify: PeerNetwork<RelayHeartbeat>['notify'];
   readonly openTunnel: PeerNetwork<RelayHeartbeat>['openTunnel'];
   readonly listCarriers: Membership['listCarriers'];
   /** Returns the last heartbeats of live hosts. */
@@ -135,15 +130,12 @@
   });
   // While a fleet starts, hosts become known by the dozen, and each changes what to link to.
   const updatePeersSoon = createAnnouncer(clock, () => updatePeers());
-  const dispatcherOrders = new Map<
-    PoolId,
-    {
-      readonly at: number;
-      readonly live: ReadonlyMap<HostId, number>;
-      readonly isStopping: boolean;
-      readonly hosts: readonly HostId[];
-    }
-  >();
+  const { listDispatchers } = createDispatcherOrder({
+    clock,
+    self: { hostId, weight },
+    listLive: members.listLive,
+    isStopping: options.isStopping,
+  });
 
   function buildHeartbeat(): RelayHeartbeat {
     const confirmedAgeMs = configurationTracker.confirmedAgeMs();
@@ -162,23 +154,6 @@
     };
   }
 
-  function listDispatchers(poolId: PoolId): readonly HostId[] {
-    const cached = dispatcherOrders.get(poolId);
-    if (cached !== undefined && clock.now() - cached.at < ORDER_CACHE_MS) return cached.hosts;
-    const live = members.listLive();
-    const isStopping = options.isStopping();
-    const isCurrent = cached?.live === live && cached.isStopping === isStopping;
-    const hosts = isCurrent ? cached.hosts : sortDispatchers(poolId, live);
-    dispatcherOrders.set(poolId, { at: clock.now(), live, isStopping, hosts });
-    return hosts;
-  }
-
-  function sortDispatchers(poolId: PoolId, live: ReadonlyMap<HostId, number>): readonly HostId[] {
-    const weights = new Map(live);
-    if (!options.isStopping() || live.size === 0) weights.set(hostId, weight);
-    return computeWeightedOrder(poolId, weights);
-  }
-
   /** Dispatchers exchange waiting times, so they are linked directly in a fleet of any size. */
   function listOtherDispatchers(): readonly HostId[] {
     const dispatchers = options
@@ -299,6 +274,7 @@
     countHosts: () => 1 + members.countKnown(),
     listRecordHolders: members.listRecordHolders,
     request: (...args) => network.request(...args),
+    notify: (...args) => network.notify(...args),
     openTunnel: (...args) => network.openTunnel(...args),
     listCarriers: members.listCarriers,
     listHeartbeats: members.listHeartbeats,
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -27,8 +27,6 @@
 
 /** Time beyond a request's deadline for which a dispatcher's reply is awaited, in milliseconds. */
 const REPLY_MARGIN_MS = 200;
-/** Timeout of control requests to a dispatcher, in milliseconds. */
-const CONTROL_REQUEST_TIMEOUT_MS = 1_000;
 /** Maximum number of dispatchers that a stage of a request is sent to. */
 const MAX_DISPATCHER_ATTEMPTS = 3;
 
@@ -137,13 +135,7 @@
     lastOrderNumber += 1;
     const runRequest = buildRunRequest(poolId, `${findFleet().hostId}/${lastOrderNumber}`, group);
     const { orderId } = runRequest;
-    const cancel = () =>
-      void findFleet().request(
-        hostId,
-        'cancel-pieces',
-        { poolId, orderId },
-        CONTROL_REQUEST_TIMEOUT_MS,
-      );
+    const cancel = () => findFleet().notify(hostId, 'cancel-pieces', { poolId, orderId });
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, runRequest.remainingMs) + REPLY_MARGIN_MS;
     fetchHandlers.set(orderId, onInputsFetched);
@@ -211,8 +203,7 @@
       targetEndAt: clock.now() + targetRemainingMs,
     };
     try {
-      const reportFetched = () =>
-        void findFleet().request(from, 'inputs-fetched', { orderId }, CONTROL_REQUEST_TIMEOUT_MS);
+      const reportFetched = () => findFleet().notify(from, 'inputs-fetched', { orderId });
       const hasInputs = inputs !== undefined;
       const outcome = encodeOutcome(
         await dispatcher.run(group, controller.signal, hasInputs ? reportFetched : undefined),
@@ -266,12 +257,7 @@
         findDispatcher(poolId)?.free(results);
         return;
       }
-      void findFleet().request(
-        hostId,
-        'free-results',
-        { poolId, results },
-        CONTROL_REQUEST_TIMEOUT_MS,
-      );
+      findFleet().notify(hostId, 'free-results', { poolId, results });
     },
     handleRequest: (from, kind, body, signal) => requestHandlers[kind]?.(from, body, signal),
   };
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -18,12 +18,14 @@
 import { createWaitMemo } from './createWaitMemo.js';
 import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
 import { computeWaits, type RankWait } from './RankWait.js';
-import { listFailures } from './listFailures.js';
+import { describePieceCall } from './describePieceCall.js';
 import { rejectUnattainable } from './rejectUnattainable.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
 /** Multiple of its expected duration after which a call times out. */
 const CALL_TIMEOUT_FACTOR = 3;
+/** Longest time for which an expired group stays in the queue of busy replicas, in milliseconds. */
+const SETTLE_INTERVAL_MS = 25;
 /** Minimum timeout of a call, in milliseconds. */
 const MIN_CALL_TIMEOUT_MS = 900;
 /**
@@ -53,6 +55,7 @@
   });
   const scans = createScanScheduler(clock, scan);
   let capacity: StageCapacity | undefined;
+  let settledAt = -Infinity;
 
   function free(results: readonly PieceResult[]): void {
     const byServer = new Map<BackendServerId, string[]>();
@@ -80,6 +83,7 @@
   }
 
   function settleExpired(): void {
+    settledAt = clock.now();
     const waits = listWaits();
     const estimateWaitMs = createWaitMemo(options.estimateWaitMs);
     queue.settleExpired(({ group }) => findRejection(group, waits, estimateWaitMs));
@@ -102,10 +106,14 @@
     if (queue.countGroups() > 0) scans.request();
   }
 
-  /** Settles expired groups and starts calls; returns whether pieces are still waiting. */
+  /**
+   * Settles expired groups and starts calls; returns whether pieces are still waiting. While all
+   * replicas are busy, the arrivals and freed results of an overload need no look at the whole queue.
+   */
   function scan(): boolean {
-    settleExpired();
-    if (capacity !== undefined) startCalls(findIdle(capacity.slots), capacity);
+    const idle = capacity === undefined ? [] : findIdle(capacity.slots);
+    if (idle.length > 0 || clock.now() - settledAt >= SETTLE_INTERVAL_MS) settleExpired();
+    if (capacity !== undefined && idle.length > 0) startCalls(idle, capacity);
     return queue.countWaiting() > 0;
   }
 
@@ -173,18 +181,10 @@
     const measuredMs = clock.now() - startedAt;
     options.metrics.recordPieceCall(poolId, callOutcome.kind);
     logger.info('batched piece call ended', {
-      requestIds: parts.map(({ entry }) => entry.group.requestId),
       pool: poolId,
-      backendServer: replica.server().serverId,
-      pieces: slots.length,
-      unwanted: slots.filter(({ entry }) => entry.isSettled).length,
       waiting: queue.countWaiting(),
-      slowness: Number(replica.slowness().toFixed(2)),
       freeBytes: replica.freeBytes({ callMs, pieceMs, resultTtlMs, ...rest }),
-      measuredMs: Math.round(measuredMs),
-      expectedMs: Math.round(expectedMs),
-      outcome: callOutcome.kind,
-      failed: listFailures(callOutcome),
+      ...describePieceCall({ replica, parts, slots, measuredMs, expectedMs, callOutcome }),
     });
     if (callOutcome.kind === 'answered') {
       replica.recordSuccess(measuredMs, expectedMs);
@@ -266,7 +266,7 @@
           resolve(err(createNotRunFailure('cancelled', 'request cancelled')));
           return;
         }
-        const rejection = findRejection(group, listWaits());
+        const rejection = group.isEntry ? findRejection(group, listWaits()) : undefined;
         if (rejection !== undefined) {
           resolve(err(rejection));
           return;
--- a/packages/relay/src/lib/pieces/createReplicaStates.ts
+++ b/packages/relay/src/lib/pieces/createReplicaStates.ts
@@ -47,17 +47,25 @@
   const results = new Map<string, { readonly bytes: number; readonly expiresAt: number }>();
   let running = 0;
   let reservedBytes = 0;
+  let resultBytes = 0;
   let slowness = 1;
   let backoffUntil = 0;
   let consecutiveFailures = 0;
 
-  function sumResultBytes(): number {
-    let bytes = 0;
-    for (const [handle, result] of results) {
-      if (result.expiresAt <= clock.now()) results.delete(handle);
-      else bytes += result.bytes;
+  function removeResult(handle: string): boolean {
+    const result = results.get(handle);
+    if (result === undefined) return false;
+    resultBytes -= result.bytes;
+    return results.delete(handle);
+  }
+
+  /** Results are added in the order of their expiry, as all have the same lifetime. */
+  function removeExpired(): void {
+    const now = clock.now();
+    for (const [handle, { expiresAt }] of results) {
+      if (expiresAt > now) return;
+      removeResult(handle);
     }
-    return bytes;
   }
 
   return {
@@ -68,7 +76,10 @@
     running: () => running,
     slowness: () => slowness,
     isBackingOff: () => clock.now() < backoffUntil,
-    freeBytes: ({ resultMemoryBytes }) => resultMemoryBytes - reservedBytes - sumResultBytes(),
+    freeBytes({ resultMemoryBytes }) {
+      removeExpired();
+      return resultMemoryBytes - reservedBytes - resultBytes;
+    },
     startCall(bytes) {
       running += 1;
       reservedBytes += bytes;
@@ -90,9 +101,11 @@
       backoffUntil = clock.now() + FULL_BACKOFF_MS;
     },
     addResult(handle, bytes, ttlMs) {
+      removeResult(handle);
       results.set(handle, { bytes, expiresAt: clock.now() + ttlMs });
+      resultBytes += bytes;
     },
-    removeResult: (handle) => results.delete(handle),
+    removeResult,
   };
 }
 
