Let a few hosts of a large fleet watch the configuration for all

Cause: 195 hosts at rest made 350 calls a second to the store, 1.8 each, 10,492 to the end of the first half second of traffic; most only repeated that the configuration has not changed. Heartbeats are a second apart, so the age that a host was told passed the limit of 1 s again and again. Change: one host in 16, at least three, watches and confirms from 1 s on; others confirm from 1.8 s on, and watch once they are overdue.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -37,9 +37,9 @@
 import { createServerAccess } from './createServerAccess.js';
 import { createServerStatus } from './createServerStatus.js';
 import { createStageWaits } from './createStageWaits.js';
-import { createStoreListener } from './createStoreListener.js';
 import { createStreamTracking } from './createStreamTracking.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
+import { startStoreReading } from './startStoreReading.js';
 import { waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
@@ -240,19 +240,16 @@
       stages.handleRequest(from, kind, body, signal) ?? streams.origins.handleRequest(kind, body),
   });
   const callers = await listener.listen(environment.callersAddress);
-  options.startStoreReader({
+  startStoreReading({
     ...context,
-    dualClock,
+    startStoreReader: options.startStoreReader,
     supervisor: supervisor.createChild('store'),
-    listener: createStoreListener({
-      logger,
-      configurationTracker,
-      servers,
-      versions: streams.versions,
-      epochs,
-      dualClock,
-    }),
-    confirmedAgeMs: configurationTracker.confirmedAgeMs,
+    configurationTracker,
+    servers,
+    versions: streams.versions,
+    epochs,
+    dualClock,
+    isReader: fleet.isStoreReader,
   });
   const addresses = {
     callers,
--- a/apps/daemon/src/lib/relay/runRelayProcess.ts
+++ b/apps/daemon/src/lib/relay/runRelayProcess.ts
@@ -31,9 +31,16 @@
   const environment = { ...first };
   return {
     environment,
-    update({ seeds, graceMs, revocationMs, retryShare, retrySlack }) {
+    update({ seeds, graceMs, revocationMs, configurationApplyMs, retryShare, retrySlack }) {
       const before = JSON.stringify(environment);
-      Object.assign(environment, { seeds, graceMs, revocationMs, retryShare, retrySlack });
+      Object.assign(environment, {
+        seeds,
+        graceMs,
+        revocationMs,
+        configurationApplyMs,
+        retryShare,
+        retrySlack,
+      });
       return JSON.stringify(environment) !== before;
     },
   };
--- /dev/null
+++ b/apps/daemon/src/lib/relay/startStoreReading.ts
@@ -0,0 +1,41 @@
+import type { Clock, Random, Supervisor } from '@endiveferry/base';
+import { createStoreReading, type Fleet, type HostEnvironment } from '@endiveferry/relay';
+
+import { createStoreListener, type StoreListenerOptions } from './createStoreListener.js';
+import type { RelayHostOptions } from './createRelayHost.js';
+
+/** Options of {@link startStoreReading}. @internal */
+export interface StoreReadingStart extends StoreListenerOptions {
+  readonly environment: Pick<HostEnvironment, 'configurationApplyMs'>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly supervisor: Supervisor;
+  readonly startStoreReader: RelayHostOptions['startStoreReader'];
+  /** Whether this host reads the configuration for all others. */
+  readonly isReader: Fleet['isStoreReader'];
+}
+
+/**
+ * Starts reading the store.
+ *
+ * @param options - see {@link StoreReadingStart}
+ * @internal
+ */
+export function startStoreReading(options: StoreReadingStart): void {
+  const { environment, configurationTracker } = options;
+  const { confirmedAgeMs } = configurationTracker;
+  options.startStoreReader({
+    clock: options.clock,
+    dualClock: options.dualClock,
+    random: options.random,
+    logger: options.logger,
+    supervisor: options.supervisor,
+    listener: createStoreListener(options),
+    confirmedAgeMs,
+    reading: createStoreReading({
+      isReader: options.isReader,
+      confirmedAgeMs,
+      findApplyMs: () => environment.configurationApplyMs,
+    }),
+  });
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -47,6 +47,11 @@
   type ConfigurationEntry,
   type StoreEpochs,
 } from './lib/createStoreEpochs.js';
+export {
+  createStoreReading,
+  type StoreReading,
+  type StoreReadingOptions,
+} from './lib/createStoreReading.js';
 export { createDualClock, type DualTimestamp, type DualClock } from './lib/createDualClock.js';
 export { createPieceDispatcher } from './lib/pieces/createPieceDispatcher.js';
 export { createWaitTable, type WaitTable } from './lib/pieces/createWaitTable.js';
--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -21,6 +21,7 @@
 
 import { computeHostWeight } from './computeHostWeight.js';
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
+import { createReaderCheck } from './createStoreReading.js';
 import { createMembership, type Membership } from './createMembership.js';
 import { createDispatcherOrder } from './createDispatcherOrder.js';
 import { createPeerReader } from './createPeerReader.js';
@@ -57,6 +58,8 @@
   listDispatchers(poolId: PoolId): readonly HostId[];
   /** Whether this host is the dispatcher of a pool. */
   readonly isDispatcher: (poolId: PoolId) => boolean;
+  /** Whether this host reads the configuration from the store for all others. */
+  readonly isStoreReader: () => boolean;
   /** Returns the number of known hosts, including this one and those that stopped seconds ago. */
   readonly countHosts: () => number;
   readonly listRecordHolders: Membership['listRecordHolders'];
@@ -271,6 +274,7 @@
     hostId,
     listDispatchers,
     isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
+    isStoreReader: createReaderCheck(hostId, members.listLive),
     countHosts: () => 1 + members.countKnown(),
     listRecordHolders: members.listRecordHolders,
     request: (...args) => network.request(...args),
--- a/packages/relay/src/lib/ports.ts
+++ b/packages/relay/src/lib/ports.ts
@@ -18,6 +18,7 @@
 import type { ListedServer, PublishedDocument } from './RelayConfiguration.js';
 import type { DualTimestamp, DualClock } from './createDualClock.js';
 import type { StorePosition } from './StorePosition.js';
+import type { StoreReading } from './createStoreReading.js';
 
 /** One part of a prompt; requests that share a part use the same id for it. @public */
 export interface PromptPart {
@@ -203,6 +204,8 @@
    * milliseconds.
    */
   readonly confirmedAgeMs: () => number;
+  /** Decides when the configuration is read. */
+  readonly reading: StoreReading;
 }
 
 /**
@@ -228,6 +231,8 @@
   readonly graceMs: number;
   /** Longest time for which a revoked key may still be accepted, in milliseconds. */
   readonly revocationMs: number;
+  /** Time within which a new configuration must be in force, in milliseconds. */
+  readonly configurationApplyMs: number;
   /** Share of a pool's requests that may be retried, over all hosts. */
   readonly retryShare: number;
   /** Number of retries that all hosts together may send beyond that share. */
