Reject requests that a stopping host cannot finish, and answer the rest before it ends

Cause: a stopping host accepted every request for 2.7 s, whatever the grace period and the time that the request may take, and cut it off at the end, also after a run that may happen only once. Pieces in a call did not count as work of a dispatcher that stops. Not played with many hosts that stop in turn.

--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -29,8 +29,8 @@
   readonly find: (poolId: PoolId) => PieceDispatcher | undefined;
   /** Returns the pools that have a dispatcher. */
   readonly listPools: () => readonly PoolId[];
-  /** Returns the number of pieces that wait in all pools. */
-  readonly countWaiting: () => number;
+  /** Returns the number of groups of all pools whose pieces wait or run. */
+  readonly countGroups: () => number;
   /** Creates dispatchers for new stage pools and updates all of them with their servers. */
   update(pools: ReadonlyMap<PoolId, RelayPool>, servers: readonly ListedServer[]): void;
 }
@@ -119,8 +119,8 @@
   return {
     find: (poolId) => dispatchers.get(poolId),
     listPools: () => [...dispatchers.keys()],
-    countWaiting: () =>
-      [...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.countWaiting(), 0),
+    countGroups: () =>
+      [...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.countGroups(), 0),
     update(pools, servers) {
       for (const [poolId, { stage }] of pools) {
         if (stage === undefined) continue;
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -40,7 +40,7 @@
 import { createStreamTracking } from './createStreamTracking.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
 import { startStoreReading } from './startStoreReading.js';
-import { waitUntilDrained } from './waitUntilDrained.js';
+import { computeStopEndAt, waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
 export interface RelayHostOptions {
@@ -100,9 +100,9 @@
       logger.error('task failed; restarting it', { path, error: describeError(error) }),
   });
   let isStopping = false;
+  let stopEndAt: number | undefined;
   let isRejecting = false;
 
-  const countHosts = () => fleet.countHosts();
   const findFleet = () => fleet;
   const announceSoon = createAnnouncer(clock, () => fleet.announce());
   const status = createServerStatus({
@@ -177,12 +177,13 @@
     mayReceive,
     origins: streams.origins,
     stages,
-    countHosts,
+    countHosts: () => fleet.countHosts(),
     countOtherHostsTokens: createPendingTokens({
       clock,
       listHeartbeats: () => fleet.listHeartbeats(),
     }),
     estimateWaitMs: waits.estimateMs,
+    findStopEndAt: () => stopEndAt,
     isRejecting: () => isRejecting,
     onServerReplaced,
   });
@@ -277,16 +278,15 @@
       if (isStopping) return;
       isStopping = true;
       const since = clock.now();
-      logger.info('stopping', {
-        activeRequests: service.countActive(),
-        graceMs: environment.graceMs,
-      });
+      const { graceMs } = environment;
+      stopEndAt = computeStopEndAt(since, graceMs);
+      logger.info('stopping', { activeRequests: service.countActive(), graceMs });
       fleet.announce();
       await waitUntilDrained({
         clock,
         since,
-        graceMs: environment.graceMs,
-        isIdle: () => service.countActive() === 0 && dispatchers.countWaiting() === 0,
+        graceMs,
+        isIdle: () => service.countActive() === 0 && dispatchers.countGroups() === 0,
         onBalancerSwitched: () => (isRejecting = true),
       });
       logger.info('stopped', {
--- a/apps/daemon/src/lib/relay/waitUntilDrained.ts
+++ b/apps/daemon/src/lib/relay/waitUntilDrained.ts
@@ -5,8 +5,10 @@
  * and a margin.
  */
 const BALANCER_SWITCH_MS = 2_700;
-/** Part of the grace period reserved for aborting remaining requests and exiting, in milliseconds. */
+/** Part of the grace period reserved for exiting, in milliseconds. */
 const SHUTDOWN_MARGIN_MS = 400;
+/** Time before that by which requests that arrive during the stop are answered, in milliseconds. */
+const ANSWER_MARGIN_MS = 200;
 const POLL_INTERVAL_MS = 50;
 
 /** Options of {@link waitUntilDrained}. @internal */
@@ -25,6 +27,17 @@
   readonly onBalancerSwitched: () => void;
 }
 
+/**
+ * Computes the time by which requests that arrive while a host stops must be answered.
+ *
+ * @param since - monotonic time at which the stop began, in milliseconds
+ * @param graceMs - time between the start of the stop and the forced end, in milliseconds
+ * @returns the monotonic time, in milliseconds
+ * @internal
+ */
+export const computeStopEndAt = (since: number, graceMs: number) =>
+  since + graceMs - SHUTDOWN_MARGIN_MS - ANSWER_MARGIN_MS;
+
 /**
  * Waits until a stopping host has no more work, or until it has to abort the rest.
  *
--- a/packages/relay/src/lib/RelayConfiguration.ts
+++ b/packages/relay/src/lib/RelayConfiguration.ts
@@ -148,6 +148,6 @@
  *   interrupted
  * @public
  */
-export function isRepeatable(route: Route): boolean {
+export function isRepeatable(route: Pick<Route, 'kind' | 'isResumable'>): boolean {
   return route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 }
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -21,6 +21,7 @@
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome } from './ForwardRequest.js';
 import type { ListedServer } from './RelayConfiguration.js';
+import { limitToStop } from './limitToStop.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { ServerSignals } from './createServerSignals.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
@@ -79,6 +80,8 @@
   readonly countOtherHostsTokens: (serverId: BackendServerId) => number;
   /** Estimates the time until a stage of a pool would start, in milliseconds. */
   readonly estimateWaitMs: EstimateWaitMs;
+  /** Returns the monotonic time by which this host has stopped; undefined while it does not stop. */
+  readonly findStopEndAt: () => number | undefined;
   /** Whether this host stops too soon to finish new requests. */
   readonly isRejecting: () => boolean;
   /** Called when the address of a server turns out to belong to another server. */
@@ -226,7 +229,9 @@
     const admitted = metadata.andThen((parsed) =>
       options.isRejecting()
         ? err(createNotRunFailure('draining', 'this host is stopping'))
-        : admitRequest(callerRequest, parsed, options),
+        : admitRequest(callerRequest, parsed, options).andThen((request) =>
+            limitToStop(request, options.findStopEndAt()),
+          ),
     );
     if (admitted.isErr()) {
       const failure = admitted.error;
--- a/packages/relay/src/lib/pieces/PieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/PieceDispatcher.ts
@@ -52,6 +52,8 @@
   readonly listWaits: () => readonly RankWait[];
   /** Returns the number of waiting pieces. */
   readonly countWaiting: () => number;
+  /** Returns the number of groups whose pieces wait or run. */
+  readonly countGroups: () => number;
 }
 
 /** Limits that replicas have named. @public */
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -295,5 +295,6 @@
     },
     listWaits,
     countWaiting: queue.countWaiting,
+    countGroups: queue.countGroups,
   };
 }
