--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -274,7 +274,7 @@
     hostId,
     listDispatchers,
     isDispatcher: (poolId) => listDispatchers(poolId)[0] === hostId,
-    isStoreReader: createReaderCheck(hostId, members.listLive),
+    isStoreReader: createReaderCheck(hostId, members.listLive, logger),
     countHosts: () => 1 + members.countKnown(),
     listRecordHolders: members.listRecordHolders,
     request: (...args) => network.request(...args),
--- a/packages/relay/src/lib/createStoreReading.ts
+++ b/packages/relay/src/lib/createStoreReading.ts
@@ -1,5 +1,6 @@
 import { computeRendezvousOrder, type HostId } from '@endiveferry/base';
 import { isFullyLinked } from '@endiveferry/peers';
+import type { Logger } from '@endiveferry/telemetry';
 
 import type { Membership } from './createMembership.js';
 
@@ -42,16 +43,24 @@
  *
  * @param hostId - the host
  * @param listLive - returns the other live hosts, in the same map until one of them changes
+ * @param logger - logs when the host becomes one of them or ceases to be one
  * @returns the check
  * @internal
  */
-export function createReaderCheck(hostId: HostId, listLive: Membership['listLive']): () => boolean {
+export function createReaderCheck(
+  hostId: HostId,
+  listLive: Membership['listLive'],
+  logger: Logger,
+): () => boolean {
   let last: { readonly live: ReturnType<typeof listLive>; readonly isReader: boolean } | undefined;
   return () => {
     const live = listLive();
-    if (last?.live !== live)
-      last = { live, isReader: chooseStoreReaders([hostId, ...live.keys()]).has(hostId) };
-    return last.isReader;
+    if (last?.live === live) return last.isReader;
+    const isReader = chooseStoreReaders([hostId, ...live.keys()]).has(hostId);
+    if (last !== undefined && last.isReader !== isReader)
+      logger.info('store readers changed', { isReader, liveHosts: live.size + 1 });
+    last = { live, isReader };
+    return isReader;
   };
 }
 
