--- a/apps/bench/src/lib/hostCost/runHostCost.ts
+++ b/apps/bench/src/lib/hostCost/runHostCost.ts
@@ -155,7 +155,8 @@
   const world = await startHostWorld(size);
   try {
     const start = await measureStart(world);
-    if (!(await world.host.isReady())) throw new Error('the host did not become ready');
+    if (!(await world.host.isReady()))
+      throw new Error(`the host did not become ready: ${world.host.readErrors()}`);
     const callMs: Partial<Record<ShopCallKind, CallCost>> = {};
     for (const kind of kinds) {
       const cold = await measureCalls(world, kind, COLD_CALLS, start.restMsPerSecond);
@@ -166,9 +167,10 @@
         failed: cold.failed + warm.failed,
       };
     }
-    const groupMs = size.isDispatcher
-      ? (await measureGroups(world, start.restMsPerSecond)).callMs
-      : undefined;
+    const groupMs =
+      size.isDispatcher && kinds.length > 0
+        ? (await measureGroups(world, start.restMsPerSecond)).callMs
+        : undefined;
     return { groupMs, peers: size.peers, servers: size.servers, ...start, callMs };
   } finally {
     await world.close();
