--- a/packages/peers/src/lib/createPeerConnection.test.ts
+++ b/packages/peers/src/lib/createPeerConnection.test.ts
@@ -86,3 +86,32 @@
     },
   );
 });
+
+test('a notice is handled without a reply', () =>
+  withSocketPair(
+    (socket) => {
+      createPeerConnection(socket, clock, (kind) => Promise.resolve(kind));
+    },
+    async (socket) => {
+      const connection = createPeerConnection(socket, clock, () => Promise.resolve());
+      await connection.request('ping', {}, REQUEST_TIMEOUT_MS);
+      const replyBytes = socket.bytesRead;
+      connection.notify('free-results', {});
+      await connection.request('ping', {}, REQUEST_TIMEOUT_MS);
+      assert.equal(socket.bytesRead, 2 * replyBytes);
+    },
+  ));
+
+// Hosts of earlier builds reply to notices, and refuse those that they cannot handle.
+test('a connection goes on after a reply that nobody waits for', () =>
+  withSocketPair(
+    (socket) => {
+      createPeerConnection(socket, clock, () => Promise.reject(new Error('not handled')));
+    },
+    async (socket) => {
+      const connection = createPeerConnection(socket, clock, () => Promise.resolve());
+      connection.notify('free-results', {});
+      assert.equal((await connection.request('ping', {}, REQUEST_TIMEOUT_MS)).isOk(), true);
+      assert.equal(connection.isOpen(), true);
+    },
+  ));
