--- a/packages/relay/src/lib/createFleet.ts
+++ b/packages/relay/src/lib/createFleet.ts
@@ -39,6 +39,7 @@
 
 /** Time without data after which a connection with pending requests is closed, in milliseconds. */
 const KEEPALIVE_TIMEOUT_MS = 900;
+
 /** Handles a request; undefined for an unknown kind. See {@link HandleHostRequest}. @public */
 export type HandleFleetRequest = (
   ...request: Parameters<HandleHostRequest>
