--- a/apps/bench/src/lib/hostCost/runHostCost.ts
+++ b/apps/bench/src/lib/hostCost/runHostCost.ts
@@ -67,76 +67,89 @@
   };
 }
 
-/** Sends calls of one kind at a fixed rate and returns what each costs, without the cost of rest. */
-async function measureCalls(
+/** What is sent to the host at a fixed rate. */
+interface SteadyLoad {
+  readonly count: number;
+  readonly perSecond: number;
+  /** Sends one; resolves to whether it was answered with success. */
+  readonly send: (index: number) => Promise<boolean>;
+}
+
+/** Sends a load and returns what each costs the host, without the cost of rest. */
+async function measureLoad(
   { host }: HostWorld,
-  kind: ShopCallKind,
-  count: number,
   restMsPerSecond: number,
-): Promise<{ readonly callMs: number; readonly failed: number }> {
-  const dispatcher = new Agent({ connections: CALLER_CONNECTIONS });
+  { count, perSecond, send }: SteadyLoad,
+): Promise<{ readonly eachMs: number; readonly failed: number }> {
   const startedAt = performance.now();
   const before = measureProcess(host.pid).processorMs;
   const pending: Promise<boolean>[] = [];
   for (let index = 0; index < count; index += 1) {
-    const id = `${kind}-${count}-${index}`;
-    pending.push(
-      sendShopCall(host.callersAddress, kind, id, dispatcher).then(
-        (status) => status === 200,
-        () => false,
-      ),
-    );
-    await waitMs(MILLISECONDS_PER_SECOND / CALLS_PER_SECOND);
+    pending.push(send(index));
+    await waitMs(MILLISECONDS_PER_SECOND / perSecond);
   }
   const answered = await Promise.all(pending);
   const usedMs = measureProcess(host.pid).processorMs - before;
   const seconds = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
-  await dispatcher.close();
   return {
-    callMs: (usedMs - seconds * restMsPerSecond) / count,
+    eachMs: (usedMs - seconds * restMsPerSecond) / count,
     failed: answered.filter((isSuccess) => !isSuccess).length,
   };
 }
 
-/** Sends groups of a following stage at a fixed rate and returns what each costs at the dispatcher. */
-async function measureGroups(
-  { host, sendPieces }: HostWorld,
+/** Measures calls of one kind, the first ones apart. */
+async function measureCalls(
+  world: HostWorld,
+  kind: ShopCallKind,
   restMsPerSecond: number,
-): Promise<{ readonly callMs: number; readonly failed: number }> {
-  const startedAt = performance.now();
-  const before = measureProcess(host.pid).processorMs;
-  const pending: Promise<boolean>[] = [];
-  for (let index = 0; index < GROUPS; index += 1) {
-    const group = {
-      poolId: 'pack',
-      orderId: `group-${index}`,
-      requestId: `group-${index}`,
-      stageIndex: 1,
-      pieceCount: PIECES_PER_GROUP,
-      rank: 1,
-      inputs: Array.from(
-        { length: INPUTS_PER_GROUP },
-        (_, input) => `10.1.64.9:8080/${input}-made`,
-      ),
-      homeZone: 'zone-a',
-      movedBytes: 1_000,
-      isEntry: false,
-      followers: [],
-      inputsRemainingMs: 4_000,
-      resultBytes: 500,
-      remainingMs: 3_000,
-      targetRemainingMs: 1_000,
-    };
-    pending.push(sendPieces(group));
-    await waitMs(MILLISECONDS_PER_SECOND / GROUPS_PER_SECOND);
-  }
-  const answered = await Promise.all(pending);
-  const usedMs = measureProcess(host.pid).processorMs - before;
-  const seconds = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
-  return {
-    callMs: (usedMs - seconds * restMsPerSecond) / GROUPS,
-    failed: answered.filter((isAnswered) => !isAnswered).length,
+): Promise<CallCost> {
+  const measure = async (count: number) => {
+    const dispatcher = new Agent({ connections: CALLER_CONNECTIONS });
+    const send = (index: number) =>
+      sendShopCall(world.host.callersAddress, kind, `${kind}-${count}-${index}`, dispatcher).then(
+        (status) => status === 200,
+        () => false,
+      );
+    const cost = await measureLoad(world, restMsPerSecond, {
+      count,
+      perSecond: CALLS_PER_SECOND,
+      send,
+    });
+    await dispatcher.close();
+    return cost;
   };
+  const cold = await measure(COLD_CALLS);
+  const warm = await measure(WARM_CALLS);
+  return { coldMs: cold.eachMs, warmMs: warm.eachMs, failed: cold.failed + warm.failed };
+}
+
+/** Builds a group of pieces of a following stage, as another host sends it. */
+const buildGroup = (index: number) => ({
+  poolId: 'pack',
+  orderId: `group-${index}`,
+  requestId: `group-${index}`,
+  stageIndex: 1,
+  pieceCount: PIECES_PER_GROUP,
+  rank: 1,
+  inputs: Array.from({ length: INPUTS_PER_GROUP }, (_, input) => `10.1.64.9:8080/${input}-made`),
+  homeZone: 'zone-a',
+  movedBytes: 1_000,
+  isEntry: false,
+  followers: [],
+  inputsRemainingMs: 4_000,
+  resultBytes: 500,
+  remainingMs: 3_000,
+  targetRemainingMs: 1_000,
+});
+
+/** Measures groups of pieces at their dispatcher. */
+async function measureGroups(world: HostWorld, restMsPerSecond: number): Promise<number> {
+  const { eachMs } = await measureLoad(world, restMsPerSecond, {
+    count: GROUPS,
+    perSecond: GROUPS_PER_SECOND,
+    send: (index) => world.sendPieces(buildGroup(index)),
+  });
+  return eachMs;
 }
 
 /**
@@ -158,18 +171,10 @@
     if (!(await world.host.isReady()))
       throw new Error(`the host did not become ready: ${world.host.readErrors()}`);
     const callMs: Partial<Record<ShopCallKind, CallCost>> = {};
-    for (const kind of kinds) {
-      const cold = await measureCalls(world, kind, COLD_CALLS, start.restMsPerSecond);
-      const warm = await measureCalls(world, kind, WARM_CALLS, start.restMsPerSecond);
-      callMs[kind] = {
-        coldMs: cold.callMs,
-        warmMs: warm.callMs,
-        failed: cold.failed + warm.failed,
-      };
-    }
+    for (const kind of kinds) callMs[kind] = await measureCalls(world, kind, start.restMsPerSecond);
     const groupMs =
       size.isDispatcher && kinds.length > 0
-        ? (await measureGroups(world, start.restMsPerSecond)).callMs
+        ? await measureGroups(world, start.restMsPerSecond)
         : undefined;
     return { groupMs, peers: size.peers, servers: size.servers, ...start, callMs };
   } finally {
--- a/packages/relay/src/lib/pieces/createReplicaStates.ts
+++ b/packages/relay/src/lib/pieces/createReplicaStates.ts
@@ -59,7 +59,10 @@
     return results.delete(handle);
   }
 
-  /** Results are added in the order of their expiry, as all have the same lifetime. */
+  /**
+   * Results are added in the order of their expiry, as a configuration gives all the same lifetime.
+   * After a change to a shorter one, those of the change count until the ones before have expired.
+   */
   function removeExpired(): void {
     const now = clock.now();
     for (const [handle, { expiresAt }] of results) {
