Add a review case from an entry: one malformed request ends several hosts

Claim: a request that names a billion pieces ends the process of the dispatcher, and then of each host that tries it next; all requests of other callers there are cut off (LOST). Shown by review/3/run.sh, with three hosts as separate processes.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec node case.mjs "$PWD"
