Tell the end of a carried connection from that of the host that carries it

A reset instead of the close would not do: the kernel sends a plain end for a process that is killed.

Change: the server's bytes are framed, and its end has a mark; any other end is an error of the socket. A stopping host tells its peers, which renew their connections, and stays until the calls on the carried ones have ended. On the same cause: a broken stream to a caller of HTTP/1.0 ends with a reset.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -282,15 +282,20 @@
       stopEndAt = computeStopEndAt(since, graceMs);
       logger.info('stopping', { activeRequests: service.countActive(), graceMs });
       fleet.announce();
+      tunnels.announceStop();
       await waitUntilDrained({
         clock,
         since,
         graceMs,
-        isIdle: () => service.countActive() === 0 && dispatchers.countGroups() === 0,
+        isIdle: () =>
+          service.countActive() === 0 &&
+          dispatchers.countGroups() === 0 &&
+          tunnels.countCarried() === 0,
         onBalancerSwitched: () => (isRejecting = true),
       });
       logger.info('stopped', {
         cutOff: service.countActive(),
+        carried: tunnels.countCarried(),
         durationMs: Math.round(clock.now() - since),
       });
     },
--- a/apps/daemon/src/lib/relay/createResponder.ts
+++ b/apps/daemon/src/lib/relay/createResponder.ts
@@ -29,6 +29,10 @@
       writeHead(status, [...headers, 'Content-Length', String(body.length)]);
       response.end(body);
     },
-    abort: () => void response.destroy(),
+    abort() {
+      // Only chunks or a reset tell a caller of HTTP/1.0 that the response is incomplete.
+      if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
+      else response.destroy();
+    },
   };
 }
--- a/apps/daemon/src/lib/relay/createServerAccess.ts
+++ b/apps/daemon/src/lib/relay/createServerAccess.ts
@@ -45,12 +45,14 @@
   const { clock, random, logger, servers, findFleet, isStopping } = options;
   const listAddresses = () => servers.list().map(({ address }) => address);
   const tunnels = createTunnels({
+    clock,
     random,
     logger,
     findFleet,
     isListed: (address) =>
       servers.list().some((server) => server.address === address && options.mayReceive(server)),
     mayCarry: (address) => !isStopping() && !paths.isCut(address),
+    renewConnections: (address) => backends.renewConnections(address),
   });
   const paths: ServerPaths = createServerPaths({
     clock,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -23,7 +23,7 @@
 } from './lib/createRelayService.js';
 export { connectSocket } from './lib/connectSocket.js';
 export { createServerPaths, type ServerPaths } from './lib/createServerPaths.js';
-export { createTunnels, type Tunnels, type TunnelsOptions } from './lib/createTunnels.js';
+export { createTunnels, type Tunnels, type TunnelsOptions } from './lib/tunnels/createTunnels.js';
 export {
   createLeavingServers,
   type LeavingReport,
--- a/packages/relay/src/lib/createServerPaths.ts
+++ b/packages/relay/src/lib/createServerPaths.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 
 import { describeError, type Clock, type Random } from '@endiveferry/base';
+import type { ServerSocket } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 
 import { createSilenceMonitor } from './createSilenceMonitor.js';
@@ -25,7 +26,7 @@
  */
 export interface ServerPaths {
   /** Opens a socket to a server. */
-  openSocket(address: string, connectDirectly: () => Promise<Socket>): Promise<Socket>;
+  openSocket(address: string, connectDirectly: () => Promise<Socket>): Promise<ServerSocket>;
   /** Records that a call waits for a server; returns a function that ends this. */
   startCall(address: string): () => void;
   /** Whether a server is known to be reachable through other hosts only. */
@@ -41,7 +42,7 @@
   readonly random: Random;
   readonly logger: Logger;
   /** Opens a connection to a server through another host; rejects when no host reaches it. */
-  readonly openTunnel: (address: string) => Promise<Socket>;
+  readonly openTunnel: (address: string) => Promise<ServerSocket>;
   /** Opens a direct connection; rejects after the timeout in milliseconds. */
   readonly connect: (address: string, timeoutMs: number) => Promise<Socket>;
   /** Returns the addresses of the listed servers. */
@@ -108,7 +109,7 @@
     return socket;
   }
 
-  async function openTunnel(address: string): Promise<Socket> {
+  async function openTunnel(address: string): Promise<ServerSocket> {
     if (clock.now() < (goneUntil.get(address) ?? 0)) throw new Error('no host reaches the server');
     try {
       const socket = await options.openTunnel(address);
@@ -126,13 +127,13 @@
     address: string,
     connectDirectly: () => Promise<Socket>,
     headStartMs: number,
-  ): Promise<Socket> {
+  ): Promise<ServerSocket> {
     return new Promise((resolve, reject) => {
       let isDone = false;
       let hasTunnelStarted = false;
       let directError: unknown;
       let failures = 0;
-      const finish = (socket: Socket) => {
+      const finish = (socket: ServerSocket) => {
         if (isDone) {
           socket.destroy();
           return;
--- a/packages/relay/src/lib/createTunnels.ts
+++ b/packages/relay/src/lib/tunnels/createTunnels.ts
@@ -1,12 +1,16 @@
 import type { Socket } from 'node:net';
 
-import { describeError, type HostId, type Random } from '@endiveferry/base';
-import type { AcceptTunnel } from '@endiveferry/peers';
+import { describeError, type Clock, type HostId, type Random } from '@endiveferry/base';
+import { createAnnouncer, type AcceptTunnel } from '@endiveferry/peers';
+import type { ServerSocket } from '@endiveferry/routing';
 import type { Logger } from '@endiveferry/telemetry';
 import { z } from 'zod';
 
-import { connectSocket } from './connectSocket.js';
-import type { Fleet } from './createFleet.js';
+import { connectSocket } from '../connectSocket.js';
+import type { Fleet } from '../createFleet.js';
+import { createTunnelSocket } from './createTunnelSocket.js';
+import { joinSockets } from './joinSockets.js';
+import { STOP_FRAME, TUNNEL_FRAMES } from './tunnelFrames.js';
 
 /** Time that a host has to connect to a server for another one, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -15,10 +19,11 @@
 const MAX_TRIED_HOSTS = 3;
 /** Tunnels that a host carries; each takes two descriptors. */
 const MAX_TUNNELS = 300;
-/** Time after which a connection without data is probed, in milliseconds: its host may be gone. */
-const KEEPALIVE_DELAY_MS = 5_000;
 
-const tunnelRequestSchema = z.object({ address: z.string() });
+/** Hosts of builds without frames neither ask for them nor promise them. */
+const framesSchema = z.literal(TUNNEL_FRAMES);
+
+const tunnelRequestSchema = z.object({ address: z.string(), frames: framesSchema });
 
 const tunnelReplySchema = z.object({
   /**
@@ -28,6 +33,7 @@
    */
   outcome: z.enum(['open', 'refused', 'unreachable']),
   detail: z.string(),
+  frames: framesSchema,
 });
 
 type TunnelOutcome = z.infer<typeof tunnelReplySchema>['outcome'];
@@ -35,17 +41,20 @@
 /** Connections to backend servers through other hosts, and for them. @public */
 export interface Tunnels {
   /** Opens a connection to a server through another host; rejects when none reaches it. */
-  open(address: string): Promise<Socket>;
+  open(address: string): Promise<ServerSocket>;
   /** Opens a connection to a server for another host; it never goes through a third one. */
   readonly accept: AcceptTunnel;
   /** Returns the number of tunnels that this host carries for others. */
   readonly countCarried: () => number;
   /** Whether this host carries tunnels to an address. */
   readonly isCarrying: (address: string) => boolean;
+  /** Tells the hosts whose connections this host carries to use others for further calls. */
+  announceStop(): void;
 }
 
 /** Options of {@link createTunnels}. @public */
 export interface TunnelsOptions {
+  readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
   readonly findFleet: () => Pick<Fleet, 'listCarriers' | 'openTunnel'>;
@@ -53,21 +62,8 @@
   readonly isListed: (address: string) => boolean;
   /** Whether this host carries tunnels to a server. */
   readonly mayCarry: (address: string) => boolean;
-}
-
-/** Copies the bytes of two sockets to each other, and closes or resets both together. */
-function joinSockets(peer: Socket, server: Socket): void {
-  // A response without a length is complete only if its server ended it, so a reset is passed on. A
-  // reset that arrives with data is reported as an end, but has no remote address any more.
-  server.on('end', () => {
-    if (server.remoteAddress === undefined) peer.resetAndDestroy();
-  });
-  server.on('error', () => peer.resetAndDestroy());
-  server.on('close', () => peer.destroySoon());
-  peer.on('close', () => server.destroy());
-  for (const socket of [peer, server]) socket.setKeepAlive(true, KEEPALIVE_DELAY_MS);
-  peer.pipe(server);
-  server.pipe(peer);
+  /** Replaces the open connections to a server; running calls end on the old ones. */
+  readonly renewConnections: (address: string) => void;
 }
 
 const isRefusal = (error: unknown) =>
@@ -83,6 +79,10 @@
 export function createTunnels(options: TunnelsOptions): Tunnels {
   const { random, logger, findFleet } = options;
   let carried = 0;
+  const carriedPeers = new Set<Socket>();
+  const addressesToRenew = new Set<string>();
+  // Many connections lead to one server, and a stopping host tells so on each.
+  const renewSoon = createAnnouncer(options.clock, renewConnections);
   /** Open tunnels by the address that they lead to. */
   const openTunnels = new Map<string, number>();
 
@@ -102,19 +102,48 @@
       .map(({ hostId }) => hostId);
   }
 
+  function renewConnections(): void {
+    const addresses = [...addressesToRenew];
+    addressesToRenew.clear();
+    for (const address of addresses) options.renewConnections(address);
+  }
+
+  function carry(peer: Socket, server: Socket, address: string, from: HostId): void {
+    carriedPeers.add(peer);
+    peer.once('close', () => carriedPeers.delete(peer));
+    joinSockets(peer, server, (error) =>
+      logger.info('a carried connection to a backend server failed', {
+        peer: from,
+        address,
+        error: describeError(error),
+      }),
+    );
+  }
+
   async function openThrough(hostId: HostId, address: string) {
     const { reply, connection } = await findFleet().openTunnel(
       hostId,
-      { address },
+      { address, frames: TUNNEL_FRAMES },
       REPLY_TIMEOUT_MS,
     );
     const parsed = tunnelReplySchema.safeParse(reply);
-    if (parsed.data?.outcome === 'open') return connection.detach();
+    if (parsed.data?.outcome === 'open') {
+      return createTunnelSocket(connection.detach(), () => {
+        logger.info('the host that carries a connection to a backend server stops', {
+          peer: hostId,
+          address,
+        });
+        addressesToRenew.add(address);
+        renewSoon();
+      });
+    }
     connection.destroy();
     return parsed.data?.outcome ?? 'unreachable';
   }
 
-  const buildReply = (outcome: TunnelOutcome, detail: string) => ({ reply: { outcome, detail } });
+  const buildReply = (outcome: TunnelOutcome, detail: string) => ({
+    reply: { outcome, detail, frames: TUNNEL_FRAMES },
+  });
 
   return {
     async open(address) {
@@ -147,8 +176,8 @@
           addOpen(address, -1);
         });
         return {
-          reply: { outcome: 'open', detail: '' },
-          attach: (peer) => joinSockets(peer, server),
+          ...buildReply('open', ''),
+          attach: (peer) => carry(peer, server, address, from),
         };
       } catch (error) {
         carried -= 1;
@@ -162,5 +191,8 @@
     },
     countCarried: () => carried,
     isCarrying: (address) => openTunnels.has(address),
+    announceStop() {
+      for (const peer of carriedPeers) peer.write(STOP_FRAME);
+    },
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,6 +20,7 @@
   type ServerConnections,
 } from './lib/createServerConnections.js';
 export { createServerHealth, type ServerHealth } from './lib/createServerHealth.js';
+export type { ServerSocket } from './lib/ServerSocket.js';
 export { loadReportSchema, type LoadReport } from './lib/LoadReport.js';
 export {
   sendCall,
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -4,6 +4,7 @@
 
 import { createResponseBudget, type ResponseBudget } from './createResponseBudget.js';
 import { createSocketMonitor, type SocketMonitor } from './createSocketMonitor.js';
+import type { ServerSocket } from './ServerSocket.js';
 import { sendCall, type Call, type CallResult } from './sendCall.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -31,7 +32,7 @@
 }
 
 /** Opens a socket to a server, given how to connect to it directly. @public */
-export type OpenServerSocket = (connectDirectly: () => Promise<Socket>) => Promise<Socket>;
+export type OpenServerSocket = (connectDirectly: () => Promise<Socket>) => Promise<ServerSocket>;
 
 /** Creates a connector whose sockets are watched for errors from the start. */
 function createConnector(
@@ -50,7 +51,8 @@
     openSocket(() => connectDirectly(options)).then(
       (socket) => {
         watch(socket);
-        callback(null, socket);
+        // The client library only reads, writes and closes it; `ref` and `unref` are optional.
+        callback(null, socket as Socket);
       },
       (error: unknown) => callback(error instanceof Error ? error : new Error(String(error)), null),
     );
--- a/packages/routing/src/lib/createSocketMonitor.ts
+++ b/packages/routing/src/lib/createSocketMonitor.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net';
+import type { ServerSocket } from './ServerSocket.js';
 
 /**
  * Bytes that a server may send before and between the data of a response, such as heads and chunk
@@ -16,7 +16,7 @@
    */
   recordProgress(): void;
   /** Watches a new socket, so that these listeners run before those of the client library. */
-  readonly watch: (socket: Socket) => void;
+  readonly watch: (socket: ServerSocket) => void;
 }
 
 /**
@@ -36,7 +36,7 @@
     });
   };
 
-  function limitOverhead(socket: Socket): void {
+  function limitOverhead(socket: ServerSocket): void {
     let bytesAtProgress = 0;
     const recordSocketProgress = () => {
       bytesAtProgress = socket.bytesRead;
