Bound the pieces that a request asks for, and keep a stage from ending hosts in turn

Cause: a number that a caller names became the length of two lists in the dispatcher, and a stage whose dispatcher was lost went on to the next one, three at most, and then to the host itself.

A stage is bounded by what its pool can complete, from the memory and the speed that the configuration gives its replicas, where the request arrives and again in the dispatcher. A dispatcher reports a stage as accepted once it survived it; if its process ends before, the stage is not sent on, and later it is sent on once. Related: timers longer than the runtime takes fired at once, again and again, for deadlines of callers and timeouts of the configuration.

--- a/apps/daemon/src/lib/buildProblem.ts
+++ b/apps/daemon/src/lib/buildProblem.ts
@@ -13,6 +13,7 @@
   'key-unproven': 409,
   'limit-reached': 429,
   overloaded: 503,
+  'too-large': 503,
   'deadline-unreachable': 503,
   'deadline-exceeded': 504,
   'no-backend-server': 503,
--- a/apps/daemon/src/lib/relay/createDispatchers.ts
+++ b/apps/daemon/src/lib/relay/createDispatchers.ts
@@ -1,5 +1,5 @@
 import type { ServerLimits } from '@endiveferry/admission';
-import type { BackendServerId, Clock, PoolId } from '@endiveferry/base';
+import { MAX_TIMER_MS, type BackendServerId, type Clock, type PoolId } from '@endiveferry/base';
 import {
   createPieceDispatcher,
   type Backends,
@@ -92,7 +92,7 @@
     const result = await backend.connections.send({
       ...protocol.buildPiecesRequest(serverId, pieces),
       maxResponseBytes: MAX_STAGE_RESPONSE_BYTES,
-      signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+      signal: AbortSignal.timeout(Math.min(Math.ceil(timeoutMs), MAX_TIMER_MS)),
       // The call may have waited for a connection since the replica was chosen.
       maySend: () => options.mayReceive(server),
     });
--- a/apps/daemon/src/lib/relay/createRelayListener.ts
+++ b/apps/daemon/src/lib/relay/createRelayListener.ts
@@ -1,6 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { createNotRunFailure, describeError, type Clock, type Failure } from '@endiveferry/base';
+import {
+  createNotRunFailure,
+  describeError,
+  MAX_TIMER_MS,
+  type Clock,
+  type Failure,
+} from '@endiveferry/base';
 import type { CallerLimits, CallerRequest, RelayService, WireProtocol } from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
@@ -112,7 +118,7 @@
   );
   const applyLimits = ({ headerTimeoutMs, idleTimeoutMs }: CallerLimits) => {
     http.server.headersTimeout = headerTimeoutMs;
-    http.server.keepAliveTimeout = idleTimeoutMs + IDLE_SLACK_MS;
+    http.server.keepAliveTimeout = Math.min(idleTimeoutMs + IDLE_SLACK_MS, MAX_TIMER_MS);
   };
   applyLimits(DEFAULT_LIMITS);
   return { ...http, applyLimits };
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,6 +1,7 @@
 /** Ids, verdicts, clocks, randomness, supervision and helpers that all other packages use. */
 export {
   createSystemClock,
+  MAX_TIMER_MS,
   isAborted,
   NO_LONGER_NEEDED,
   waitFor,
--- a/packages/base/src/lib/Verdict.ts
+++ b/packages/base/src/lib/Verdict.ts
@@ -26,6 +26,7 @@
   'key-unproven',
   'limit-reached',
   'overloaded',
+  'too-large',
   'deadline-unreachable',
   'deadline-exceeded',
   'no-backend-server',
--- a/packages/base/src/lib/clock.ts
+++ b/packages/base/src/lib/clock.ts
@@ -8,10 +8,20 @@
   now(): number;
   /** Wall-clock time, in milliseconds since the Unix epoch. */
   wallTime(): number;
-  /** Runs `callback` once after `delayMs` milliseconds; the returned function cancels the timer. */
+  /**
+   * Runs `callback` once after `delayMs` milliseconds, at most {@link MAX_TIMER_MS}; the returned
+   * function cancels the timer.
+   */
   schedule(delayMs: number, callback: () => void): () => void;
 }
 
+/**
+ * Longest delay of a timer, in milliseconds. The runtime turns longer ones into one millisecond.
+ *
+ * @public
+ */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /**
  * Creates a clock that uses the time and the timers of the process.
  *
@@ -23,7 +33,7 @@
     now: () => performance.now(),
     wallTime: () => Date.now(),
     schedule(delayMs, callback) {
-      const timer = setTimeout(callback, delayMs);
+      const timer = setTimeout(callback, Math.min(delayMs, MAX_TIMER_MS));
       return () => clearTimeout(timer);
     },
   };
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -8,6 +8,8 @@
 import { parsePeerMessage, type PeerMessage, type PeerRequestKind } from './messages.js';
 
 const LENGTH_PREFIX_BYTES = 4;
+/** Errors of a connection that the remote host has closed. */
+const PEER_CLOSE_ERRORS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 /** Maximum length of a message, in bytes; a configuration can take up several megabytes. */
 const MAX_MESSAGE_BYTES = 32_000_000;
 
@@ -23,6 +25,8 @@
 export interface PeerFailure {
   readonly kind: 'not-sent' | 'refused' | 'unknown';
   readonly detail: string;
+  /** Whether the remote host closed the connection, for example because its process ended. */
+  readonly isClosedByPeer?: boolean;
 }
 
 /**
@@ -114,6 +118,7 @@
   const disconnect = new AbortController();
   let nextId = 1;
   let isClosing = false;
+  let isClosedByPeer = false;
   const keepalive =
     keepaliveTimeoutMs === undefined
       ? undefined
@@ -188,12 +193,16 @@
   };
   socket.on('data', receive);
   const closed = new Promise<void>((resolve) => {
-    socket.on('error', () => undefined);
+    socket.on('end', () => (isClosedByPeer = true));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (PEER_CLOSE_ERRORS.has(error.code ?? '')) isClosedByPeer = true;
+    });
     socket.on('close', () => {
       keepalive?.stop();
       disconnect.abort(NO_LONGER_NEEDED);
       for (const { finish } of [...pending.values()]) {
-        finish(err({ kind: 'unknown', detail: 'the connection closed before the reply' }));
+        const detail = 'the connection closed before the reply';
+        finish(err({ kind: 'unknown', detail, isClosedByPeer }));
       }
       resolve();
     });
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -21,6 +21,7 @@
   | 'read-servers'
   | 'run-pieces'
   | 'cancel-pieces'
+  | 'pieces-accepted'
   | 'inputs-fetched'
   | 'free-results'
   | 'record-streams'
@@ -38,6 +39,7 @@
   'read-servers',
   'run-pieces',
   'cancel-pieces',
+  'pieces-accepted',
   'inputs-fetched',
   'free-results',
   'record-streams',
--- a/packages/relay/src/lib/addRetryDelay.ts
+++ b/packages/relay/src/lib/addRetryDelay.ts
@@ -10,6 +10,7 @@
   'part-blocked',
   'request-blocked',
   'cannot-resume',
+  'too-large',
 ]);
 
 /**
--- a/packages/relay/src/lib/createInputPreparer.ts
+++ b/packages/relay/src/lib/createInputPreparer.ts
@@ -9,6 +9,7 @@
 import type { StageClient } from './createStageClient.js';
 import type { EngineInputs } from './ForwardRequest.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
+import { rejectOversized } from './pieces/rejectOversized.js';
 import { runStages, type StagesOutput } from './runStages.js';
 
 /** Time to the first event of an empty prompt, in milliseconds: one engine step and two hops. */
@@ -65,6 +66,25 @@
   const estimateFirstEventMs = ({ route, metadata }: AdmittedRequest) =>
     EMPTY_PROMPT_MS + countTokens(metadata.promptParts) * findTokenMs(route.pipelineId);
 
+  /** Rejects a request with a stage that its pool cannot complete. */
+  function checkStageSizes({
+    route,
+    metadata,
+    active,
+    endAt,
+  }: AdmittedRequest): Failure | undefined {
+    for (const [index, { poolId, resultBytes }] of route.stages.entries()) {
+      const capacity = active.configuration.pools.get(poolId)?.stage;
+      const pieceCount = metadata.pieceCounts[index] ?? 0;
+      if (pieceCount === 0) continue;
+      const replicaCount = backends.listPool(poolId).length;
+      const pool = { capacity, replicaCount, now: clock.now() };
+      const failure = rejectOversized({ pieceCount, resultBytes, endAt }, pool);
+      if (failure !== undefined) return failure;
+    }
+    return undefined;
+  }
+
   /** Rejects a request whose first event cannot arrive before its deadline. */
   function checkAdmission(admitted: AdmittedRequest): Failure | undefined {
     const { route, metadata, rank, endAt } = admitted;
@@ -115,7 +135,7 @@
   return {
     async prepare(admitted, signal) {
       if (admitted.route.stages.length === 0) return ok(undefined);
-      const rejection = checkAdmission(admitted);
+      const rejection = checkStageSizes(admitted) ?? checkAdmission(admitted);
       if (rejection !== undefined) return err(rejection);
       const first = await runAllStages(admitted, signal);
       // A result was lost with the replica that made it, or freed before its reader was done.
--- a/packages/relay/src/lib/createStageClient.test.ts
+++ b/packages/relay/src/lib/createStageClient.test.ts
@@ -8,6 +8,7 @@
   hostIdSchema,
   poolIdSchema,
   requestIdSchema,
+  type HostId,
 } from '@endiveferry/base';
 import { createLogger, createMetrics, setLogWriter } from '@endiveferry/telemetry';
 import { err, ok } from 'neverthrow';
@@ -24,6 +25,9 @@
 const self = hostIdSchema.parse('10.0.0.1');
 const other = hostIdSchema.parse('10.0.0.2');
 
+/** Key of a stage that the local dispatcher does not complete. */
+const HANGING_KEY = 'hang';
+
 const group: PieceGroup = {
   requestId: requestIdSchema.parse('r1'),
   stageIndex: 0,
@@ -41,13 +45,14 @@
   targetEndAt: 1_000,
 };
 
-/** Creates a client of a fleet of two hosts, of which the other one is the dispatcher. */
-function createHarness(request: Fleet['request']) {
+/** Creates a client of a fleet whose other hosts are dispatchers, in this order. */
+function createHarness(request: Fleet['request'], others = [other]) {
   const clock = createFakeClock();
   const localSignals: AbortSignal[] = [];
   const dispatcher: Pick<PieceDispatcher, 'run' | 'listWaits'> = {
-    run(_group, signal) {
+    run({ key }, signal) {
       localSignals.push(signal);
+      if (key === HANGING_KEY) return new Promise(() => undefined);
       if (signal.aborted) return Promise.resolve(err(createNotRunFailure('cancelled', 'left')));
       return Promise.resolve(
         ok([{ serverId: backendServerIdSchema.parse('local'), handle: 'made here' }]),
@@ -55,10 +60,12 @@
     },
     listWaits: () => [],
   };
-  const fleet: Pick<Fleet, 'hostId' | 'listDispatchers' | 'request'> = {
+  const notices: string[] = [];
+  const fleet: Pick<Fleet, 'hostId' | 'listDispatchers' | 'request' | 'notify'> = {
     hostId: self,
-    listDispatchers: () => [other, self],
+    listDispatchers: () => [...others, self],
     request,
+    notify: (_hostId, kind) => void notices.push(kind),
   };
   const client = createStageClient({
     clock,
@@ -68,7 +75,7 @@
     findDispatcher: () => dispatcher as PieceDispatcher,
     recordWaits: () => undefined,
   });
-  return { client, localSignals };
+  return { client, clock, localSignals, notices };
 }
 
 test('a stage of a request that was aborted before is not sent to a dispatcher', async () => {
@@ -102,3 +109,73 @@
   connection.abort();
   assert.equal(localSignals[0].aborted, true);
 });
+
+const closedByPeer = {
+  kind: 'unknown',
+  detail: 'the connection closed before the reply',
+  isClosedByPeer: true,
+} as const;
+const third = hostIdSchema.parse('10.0.0.3');
+
+/** Runs a stage at dispatchers that all end; they accept it first if `accepts` is set. */
+async function runAtEndingHosts(accepts: boolean) {
+  const asked: HostId[] = [];
+  const { client, localSignals } = createHarness(
+    async (hostId, _kind, body) => {
+      asked.push(hostId);
+      const { orderId } = body as { orderId: string };
+      const { signal } = new AbortController();
+      if (accepts) await client.handleRequest(hostId, 'pieces-accepted', { orderId }, signal);
+      return err(closedByPeer);
+    },
+    [other, third, hostIdSchema.parse('10.0.0.4')],
+  );
+  const result = await client.run(poolId, group, new AbortController().signal, () => undefined);
+  return { asked, hasRunHere: localSignals.length > 0, result };
+}
+
+// One malformed request ended the process of each dispatcher that it was sent to in turn.
+test('a stage whose dispatcher ends before it accepted it is not sent to another one', async () => {
+  const { asked, hasRunHere, result } = await runAtEndingHosts(false);
+  assert.deepEqual(asked, [other]);
+  assert.equal(hasRunHere, false);
+  assert.equal(result.isErr() && result.error.reason, 'connection-lost');
+});
+
+test('a stage goes on at another dispatcher once, when the first one ends later', async () => {
+  const { asked, hasRunHere, result } = await runAtEndingHosts(true);
+  assert.deepEqual(asked, [other, third]);
+  assert.equal(hasRunHere, false);
+  // The caller is not told to come back, although no engine has the request.
+  assert.equal(result.isErr() && result.error.execution, 'may-have-run');
+});
+
+test('a stage goes on at another dispatcher when the path to the first one is cut', async () => {
+  const { client, localSignals } = createHarness(() =>
+    Promise.resolve(err({ kind: 'unknown', detail: 'no data received for 900 ms' })),
+  );
+  const { signal } = new AbortController();
+  const result = await client.run(poolId, group, signal, () => undefined);
+  assert.equal(localSignals.length, 1);
+  assert.ok(result.isOk());
+});
+
+test('a dispatcher reports to hosts that ask for it that it accepted a stage', async () => {
+  for (const reportsAcceptance of [true, undefined]) {
+    const { client, clock, notices } = createHarness(() => Promise.resolve(err(closedByPeer)));
+    const body = {
+      ...group,
+      inputs: [],
+      homeZone: 'a',
+      key: HANGING_KEY,
+      poolId,
+      orderId: `${other}/1`,
+      remainingMs: 5_000,
+      targetRemainingMs: 1_000,
+      reportsAcceptance,
+    };
+    void client.handleRequest(other, 'run-pieces', body, new AbortController().signal);
+    await clock.advance(100);
+    assert.deepEqual(notices, reportsAcceptance === true ? ['pieces-accepted'] : []);
+  }
+});
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -1,7 +1,6 @@
 import {
   createNotRunFailure,
   isAborted,
-  NO_LONGER_NEEDED,
   type Clock,
   type Failure,
   type HostId,
@@ -12,12 +11,10 @@
 
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { Fleet, HandleFleetRequest } from './createFleet.js';
+import { createStageRequestHandler } from './createStageRequestHandler.js';
 import {
-  cancelPiecesSchema,
-  freeResultsSchema,
-  inputsFetchedSchema,
+  orderNoticeSchema,
   runPiecesReplySchema,
-  runPiecesRequestSchema,
   type RunPiecesRequest,
   type RunPiecesReply,
   type ReportedWaits,
@@ -29,6 +26,8 @@
 const REPLY_MARGIN_MS = 200;
 /** Maximum number of dispatchers that a stage of a request is sent to. */
 const MAX_DISPATCHER_ATTEMPTS = 3;
+/** Number of dispatchers lost with a stage after which it is not sent to another one. */
+const MAX_LOST_DISPATCHERS = 2;
 
 /**
  * Sends the stages of requests to the dispatchers of their pools.
@@ -68,20 +67,17 @@
   readonly recordWaits: (waits: ReportedWaits) => void;
 }
 
-/** Failure reasons that are reported unchanged to the host that sent the stage. */
-const forwardedReasons = ['deadline-exceeded', 'input-lost', 'cancelled', 'overloaded'] as const;
-
-function encodeOutcome(result: Result<readonly PieceResult[], Failure>): RunPiecesReply['outcome'] {
-  if (result.isOk()) return { kind: 'made', results: [...result.value] };
-  const { reason, detail, retryAfterMs } = result.error;
-  const known = forwardedReasons.find((forwarded) => forwarded === reason);
-  return {
-    kind: 'failed',
-    reason: known ?? 'server-error',
-    detail,
-    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-  };
-}
+/**
+ * End of a stage request at another host.
+ *
+ * - `settled`: the dispatcher replied with the outcome of the stage.
+ * - `unreached`: the host is unreachable or has no dispatcher, or did not reply in time.
+ * - `lost`: the dispatcher's process ended after it had accepted the stage.
+ * - `suspect`: it ended before, so that the stage itself may have ended it.
+ */
+type HostOutcome =
+  | { readonly kind: 'settled'; readonly result: Result<readonly PieceResult[], Failure> }
+  | { readonly kind: 'unreached' | 'lost' | 'suspect' };
 
 function decodeOutcome(
   outcome: RunPiecesReply['outcome'],
@@ -90,6 +86,13 @@
   return err(createNotRunFailure(outcome.reason, outcome.detail, outcome.retryAfterMs));
 }
 
+/** Builds a failure that does not invite the caller to send the request again. */
+const buildLostFailure = (poolId: PoolId): Failure => ({
+  reason: 'connection-lost',
+  detail: `the dispatcher of pool ${poolId} ended while it had a stage of the request`,
+  execution: 'may-have-run',
+});
+
 /**
  * Creates a stage client.
  *
@@ -99,8 +102,10 @@
  */
 export function createStageClient(options: StageClientOptions): StageClient {
   const { clock, logger, findFleet, findDispatcher } = options;
-  const abortControllers = new Map<string, AbortController>();
+  const handleStageRequest = createStageRequestHandler(options);
   const fetchHandlers = new Map<string, () => void>();
+  /** Orders at other hosts, with whether the host has accepted them. */
+  const acceptedOrders = new Map<string, boolean>();
   let lastOrderNumber = 0;
 
   function buildRunRequest(poolId: PoolId, orderId: string, group: PieceGroup): RunPiecesRequest {
@@ -118,20 +123,17 @@
         : {}),
       remainingMs: endAt - clock.now(),
       targetRemainingMs: targetEndAt - clock.now(),
+      reportsAcceptance: true,
     };
   }
 
-  /**
-   * Runs a stage at another host; undefined when that host sends no outcome, for example because it
-   * is unreachable or has no dispatcher.
-   */
   async function runAtHost(
     hostId: HostId,
     poolId: PoolId,
     group: PieceGroup,
     signal: AbortSignal,
     onInputsFetched: () => void,
-  ): Promise<Result<readonly PieceResult[], Failure> | undefined> {
+  ): Promise<HostOutcome> {
     lastOrderNumber += 1;
     const runRequest = buildRunRequest(poolId, `${findFleet().hostId}/${lastOrderNumber}`, group);
     const { orderId } = runRequest;
@@ -139,109 +141,60 @@
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, runRequest.remainingMs) + REPLY_MARGIN_MS;
     fetchHandlers.set(orderId, onInputsFetched);
+    acceptedOrders.set(orderId, false);
     const sentAt = clock.now();
     const reply = await findFleet().request(hostId, 'run-pieces', runRequest, timeoutMs);
     fetchHandlers.delete(orderId);
+    const isAccepted = acceptedOrders.get(orderId) === true;
+    acceptedOrders.delete(orderId);
     signal.removeEventListener('abort', cancel);
     options.metrics.recordStageRequest(poolId, reply.isOk() ? 'answered' : 'unanswered');
     if (reply.isOk()) {
       const { outcome, byRank } = runPiecesReplySchema.parse(reply.value);
       options.recordWaits({ poolId, ageMs: 0, byRank });
-      return decodeOutcome(outcome);
+      return { kind: 'settled', result: decodeOutcome(outcome) };
     }
+    const lostKind = isAccepted ? 'lost' : 'suspect';
+    const kind = reply.error.isClosedByPeer === true ? lostKind : 'unreached';
     logger.warn('stage request to dispatcher failed', {
       requestId: group.requestId,
       orderId,
       pool: poolId,
       peer: hostId,
       waitedMs: Math.round(clock.now() - sentAt),
+      outcome: kind,
       detail: reply.error.detail,
     });
-    return undefined;
-  }
-
-  async function handleRunRequest(
-    from: HostId,
-    body: unknown,
-    disconnectSignal: AbortSignal,
-  ): Promise<RunPiecesReply> {
-    const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
-      runPiecesRequestSchema.parse(body);
-    const dispatcher = findDispatcher(poolId);
-    if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
-    const controller = new AbortController();
-    abortControllers.set(orderId, controller);
-    const abandon = () => {
-      options.metrics.recordStageRequest(poolId, 'abandoned');
-      logger.info('stage request abandoned: the connection to its host closed', {
-        requestId: rest.requestId,
-        orderId,
-        pool: poolId,
-        peer: from,
-      });
-      controller.abort(NO_LONGER_NEEDED);
-    };
-    disconnectSignal.addEventListener('abort', abandon, { once: true });
-    const [preferredHost] = findFleet().listDispatchers(poolId);
-    if (preferredHost !== findFleet().hostId) {
-      logger.info('stage request received, although another host is preferred', {
-        requestId: rest.requestId,
-        orderId,
-        pool: poolId,
-        peer: from,
-        preferred: preferredHost,
-      });
-    }
-    const { key, inputs, homeZone } = rest;
-    const group = {
-      ...rest,
-      key,
-      inputs,
-      homeZone,
-      inputsExpireAt: clock.now() + (inputsRemainingMs ?? Infinity),
-      endAt: clock.now() + remainingMs,
-      targetEndAt: clock.now() + targetRemainingMs,
-    };
-    try {
-      const reportFetched = () => findFleet().notify(from, 'inputs-fetched', { orderId });
-      const hasInputs = inputs !== undefined;
-      const outcome = encodeOutcome(
-        await dispatcher.run(group, controller.signal, hasInputs ? reportFetched : undefined),
-      );
-      return { outcome, byRank: dispatcher.listWaits() };
-    } finally {
-      disconnectSignal.removeEventListener('abort', abandon);
-      abortControllers.delete(orderId);
-    }
+    return { kind };
   }
 
-  const requestHandlers: Partial<
-    Record<string, (from: HostId, body: unknown, signal: AbortSignal) => Promise<unknown>>
-  > = {
-    'run-pieces': handleRunRequest,
-    'inputs-fetched': (_from, body) => {
-      fetchHandlers.get(inputsFetchedSchema.parse(body).orderId)?.();
-      return Promise.resolve(true);
-    },
-    'cancel-pieces': (_from, body) => {
-      abortControllers.get(cancelPiecesSchema.parse(body).orderId)?.abort();
-      return Promise.resolve(true);
-    },
-    'free-results': (_from, body) => {
-      const { poolId, results } = freeResultsSchema.parse(body);
-      findDispatcher(poolId)?.free(results);
-      return Promise.resolve(true);
+  const noticeHandlers: Partial<Record<string, (orderId: string) => void>> = {
+    'pieces-accepted': (orderId) => {
+      if (acceptedOrders.has(orderId)) acceptedOrders.set(orderId, true);
     },
+    'inputs-fetched': (orderId) => fetchHandlers.get(orderId)?.(),
   };
 
+  function handleNotice(kind: string, body: unknown): Promise<unknown> | undefined {
+    const handle = noticeHandlers[kind];
+    if (handle === undefined) return undefined;
+    handle(orderNoticeSchema.parse(body).orderId);
+    return Promise.resolve(true);
+  }
+
   const listDispatcherHosts = (poolId: PoolId) => findFleet().listDispatchers(poolId);
 
   return {
     async run(poolId, group, signal, onInputsFetched) {
+      let lost = 0;
       for (const hostId of listDispatcherHosts(poolId).slice(0, MAX_DISPATCHER_ATTEMPTS)) {
         if (hostId === findFleet().hostId || isAborted(signal)) break;
-        const result = await runAtHost(hostId, poolId, group, signal, onInputsFetched);
-        if (result !== undefined) return result;
+        const outcome = await runAtHost(hostId, poolId, group, signal, onInputsFetched);
+        if (outcome.kind === 'settled') return outcome.result;
+        if (outcome.kind === 'lost') lost += 1;
+        // A stage that ends the process of its dispatcher must not end the next one's too.
+        if (outcome.kind === 'suspect' || lost >= MAX_LOST_DISPATCHERS)
+          return err(buildLostFailure(poolId));
         if (clock.now() >= group.endAt) break;
       }
       const localDispatcher = findDispatcher(poolId);
@@ -259,6 +212,7 @@
       }
       findFleet().notify(hostId, 'free-results', { poolId, results });
     },
-    handleRequest: (from, kind, body, signal) => requestHandlers[kind]?.(from, body, signal),
+    handleRequest: (from, kind, body, signal) =>
+      handleNotice(kind, body) ?? handleStageRequest(from, kind, body, signal),
   };
 }
--- /dev/null
+++ b/packages/relay/src/lib/createStageRequestHandler.ts
@@ -0,0 +1,136 @@
+import { NO_LONGER_NEEDED, type Failure, type HostId } from '@endiveferry/base';
+import type { Result } from 'neverthrow';
+
+import type { HandleFleetRequest } from './createFleet.js';
+import type { StageClientOptions } from './createStageClient.js';
+import {
+  cancelPiecesSchema,
+  freeResultsSchema,
+  runPiecesRequestSchema,
+  type RunPiecesReply,
+} from './messages.js';
+import type { PieceResult } from './pieces/PieceDispatcher.js';
+
+/**
+ * Time from the arrival of a stage until its dispatcher reports that it accepted it, in milliseconds.
+ * By then the stage was queued and the queue was scanned with it.
+ */
+const ACCEPTANCE_DELAY_MS = 40;
+
+/** Failure reasons that are reported unchanged to the host that sent the stage. */
+const forwardedReasons = ['deadline-exceeded', 'input-lost', 'cancelled', 'overloaded'] as const;
+
+function encodeOutcome(result: Result<readonly PieceResult[], Failure>): RunPiecesReply['outcome'] {
+  if (result.isOk()) return { kind: 'made', results: [...result.value] };
+  const { reason, detail, retryAfterMs } = result.error;
+  const known = forwardedReasons.find((forwarded) => forwarded === reason);
+  return {
+    kind: 'failed',
+    reason: known ?? 'server-error',
+    detail,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+/**
+ * Creates the handler of other hosts' requests to the dispatchers of this host.
+ *
+ * @param options - see {@link StageClientOptions}
+ * @returns the handler; it returns undefined for requests of other kinds
+ * @internal
+ */
+export function createStageRequestHandler(options: StageClientOptions): HandleFleetRequest {
+  const { clock, logger, findFleet, findDispatcher } = options;
+  const abortControllers = new Map<string, AbortController>();
+
+  /** Reports to a host that its order did not end this process. */
+  function reportAcceptance(hostId: HostId, orderId: string): void {
+    clock.schedule(ACCEPTANCE_DELAY_MS, () => {
+      // Otherwise the reply has said so.
+      if (abortControllers.has(orderId)) findFleet().notify(hostId, 'pieces-accepted', { orderId });
+    });
+  }
+
+  async function handleRunRequest(
+    from: HostId,
+    body: unknown,
+    disconnectSignal: AbortSignal,
+  ): Promise<RunPiecesReply> {
+    const {
+      poolId,
+      orderId,
+      remainingMs,
+      targetRemainingMs,
+      inputsRemainingMs,
+      reportsAcceptance = false,
+      ...rest
+    } = runPiecesRequestSchema.parse(body);
+    const dispatcher = findDispatcher(poolId);
+    if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
+    const controller = new AbortController();
+    abortControllers.set(orderId, controller);
+    const abandon = () => {
+      options.metrics.recordStageRequest(poolId, 'abandoned');
+      logger.info('stage request abandoned: the connection to its host closed', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+      });
+      controller.abort(NO_LONGER_NEEDED);
+    };
+    disconnectSignal.addEventListener('abort', abandon, { once: true });
+    const [preferredHost] = findFleet().listDispatchers(poolId);
+    if (preferredHost !== findFleet().hostId) {
+      logger.info('stage request received, although another host is preferred', {
+        requestId: rest.requestId,
+        orderId,
+        pool: poolId,
+        peer: from,
+        preferred: preferredHost,
+      });
+    }
+    const { key, inputs, homeZone } = rest;
+    const group = {
+      ...rest,
+      key,
+      inputs,
+      homeZone,
+      inputsExpireAt: clock.now() + (inputsRemainingMs ?? Infinity),
+      endAt: clock.now() + remainingMs,
+      targetEndAt: clock.now() + targetRemainingMs,
+    };
+    try {
+      const reportFetched = () => findFleet().notify(from, 'inputs-fetched', { orderId });
+      const hasInputs = inputs !== undefined;
+      const running = dispatcher.run(
+        group,
+        controller.signal,
+        hasInputs ? reportFetched : undefined,
+      );
+      if (reportsAcceptance) reportAcceptance(from, orderId);
+      const outcome = encodeOutcome(await running);
+      return { outcome, byRank: dispatcher.listWaits() };
+    } finally {
+      disconnectSignal.removeEventListener('abort', abandon);
+      abortControllers.delete(orderId);
+    }
+  }
+
+  const requestHandlers: Partial<
+    Record<string, (from: HostId, body: unknown, signal: AbortSignal) => Promise<unknown>>
+  > = {
+    'run-pieces': handleRunRequest,
+    'cancel-pieces': (_from, body) => {
+      abortControllers.get(cancelPiecesSchema.parse(body).orderId)?.abort();
+      return Promise.resolve(true);
+    },
+    'free-results': (_from, body) => {
+      const { poolId, results } = freeResultsSchema.parse(body);
+      findDispatcher(poolId)?.free(results);
+      return Promise.resolve(true);
+    },
+  };
+
+  return (from, kind, body, signal) => requestHandlers[kind]?.(from, body, signal);
+}
--- a/packages/relay/src/lib/pieces/createPieceDispatcher.ts
+++ b/packages/relay/src/lib/pieces/createPieceDispatcher.ts
@@ -4,7 +4,7 @@
 import type { PieceFailure } from '../ports.js';
 import type { StageCapacity } from '../RelayConfiguration.js';
 import { chooseBatch, listStartable, type BatchPart } from './chooseBatch.js';
-import { estimateCallMs, estimateSoloMs } from './estimateCallMs.js';
+import { computeCallTimeoutMs, estimateCallMs, estimateSoloMs } from './estimateCallMs.js';
 import { createGroupQueue, type CallSlot } from './createGroupQueue.js';
 import { createReplicaStates, type ReplicaState } from './createReplicaStates.js';
 import type {
@@ -19,15 +19,12 @@
 import { createQueuedGroup, type QueuedGroup } from './QueuedGroup.js';
 import { computeWaits, type RankWait } from './RankWait.js';
 import { describePieceCall } from './describePieceCall.js';
+import { rejectOversized } from './rejectOversized.js';
 import { rejectUnattainable } from './rejectUnattainable.js';
 import type { PieceGroup } from './WaitingGroup.js';
 
-/** Multiple of its expected duration after which a call times out. */
-const CALL_TIMEOUT_FACTOR = 3;
 /** Longest time for which an expired group stays in the queue of busy replicas, in milliseconds. */
 const SETTLE_INTERVAL_MS = 25;
-/** Minimum timeout of a call, in milliseconds. */
-const MIN_CALL_TIMEOUT_MS = 900;
 /**
  * Time after the start of a call by which its replica is assumed to have fetched the inputs, in
  * milliseconds: they are a few megabytes over gigabit links. If the assumption is wrong, the
@@ -156,10 +153,6 @@
     const slots = queue.dequeuePieces(parts);
     const bytes = slots.reduce((sum, { entry }) => sum + entry.group.resultBytes, 0);
     const expectedMs = estimateCallMs({ callMs, pieceMs, resultTtlMs, ...rest }, slots.length, 1);
-    const timeoutMs = Math.max(
-      MIN_CALL_TIMEOUT_MS,
-      expectedMs * CALL_TIMEOUT_FACTOR * Math.max(1, replica.slowness()),
-    );
     const startedAt = clock.now();
     replica.startCall(bytes);
     limits.recordSent(replica.server().serverId);
@@ -174,7 +167,7 @@
         key: group.key,
         inputs: group.inputs,
       })),
-      timeoutMs,
+      computeCallTimeoutMs(expectedMs, replica.slowness()),
     );
     replica.endCall(bytes);
     cancelFetchTimer();
@@ -266,7 +259,10 @@
           resolve(err(createNotRunFailure('cancelled', 'request cancelled')));
           return;
         }
-        const rejection = group.isEntry ? findRejection(group, listWaits()) : undefined;
+        const pool = { capacity, replicaCount: replicas.list().length, now: clock.now() };
+        const rejection =
+          rejectOversized(group, pool) ??
+          (group.isEntry ? findRejection(group, listWaits()) : undefined);
         if (rejection !== undefined) {
           resolve(err(rejection));
           return;
--- a/packages/relay/src/lib/pieces/estimateCallMs.ts
+++ b/packages/relay/src/lib/pieces/estimateCallMs.ts
@@ -1,5 +1,10 @@
 import type { StageCapacity } from '../RelayConfiguration.js';
 
+/** Multiple of its expected duration after which a call times out. */
+const CALL_TIMEOUT_FACTOR = 3;
+/** Minimum timeout of a call, in milliseconds. */
+const MIN_CALL_TIMEOUT_MS = 900;
+
 /**
  * Estimates the duration of a call.
  *
@@ -34,3 +39,15 @@
 ): number {
   return estimateCallMs(capacity, Math.min(pieceCount, capacity.batch), slowness);
 }
+
+/**
+ * Computes the timeout of a call.
+ *
+ * @param expectedMs - expected duration at a replica of the configured speed, in milliseconds
+ * @param slowness - the replica's ratio of measured to expected duration
+ * @returns the timeout, in milliseconds
+ * @internal
+ */
+export function computeCallTimeoutMs(expectedMs: number, slowness: number): number {
+  return Math.max(MIN_CALL_TIMEOUT_MS, expectedMs * CALL_TIMEOUT_FACTOR * Math.max(1, slowness));
+}
