Answer open requests before the end of a planned stop

Cause: only requests that arrived during the stop had its end as a deadline. For the others the process exited with them open.

Change: 0.8 s before the end each request without a response is answered, 503 if it provably did not run, else 502; pieces of other hosts' requests are refused, so that another dispatcher gets them. A response that is not written in full counts as work. Streams that have begun go on to the end and are then broken off, visibly.

--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -28,6 +28,7 @@
 import { createLogger, createMetrics } from '@endiveferry/telemetry';
 
 import { createDispatchers } from './createDispatchers.js';
+import { createHostStop } from './createHostStop.js';
 import { createHeartbeatContent } from './createHeartbeatContent.js';
 import { createLoopDelayMonitor } from './createLoopDelayMonitor.js';
 import { createPendingTokens } from './createPendingTokens.js';
@@ -40,7 +41,6 @@
 import { createStreamTracking } from './createStreamTracking.js';
 import { registerRelayGauges } from './registerRelayGauges.js';
 import { startStoreReading } from './startStoreReading.js';
-import { computeStopEndAt, waitUntilDrained } from './waitUntilDrained.js';
 
 /** Options of {@link createRelayHost}. @public */
 export interface RelayHostOptions {
@@ -99,10 +99,23 @@
     onCrash: (path, error) =>
       logger.error('task failed; restarting it', { path, error: describeError(error) }),
   });
-  let isStopping = false;
-  let stopEndAt: number | undefined;
-  let isRejecting = false;
-
+  const stop = createHostStop({
+    clock,
+    logger,
+    findGraceMs: () => environment.graceMs,
+    countWork: () => ({
+      requests: service.countActive(),
+      responses: listener.countOpen(),
+      groups: dispatchers.countGroups(),
+      carried: tunnels.countCarried(),
+    }),
+    announce() {
+      fleet.announce();
+      tunnels.announceStop();
+    },
+    abortResponses: () => listener.abortOpen(),
+  });
+  const { isStopping } = stop;
   const findFleet = () => fleet;
   const announceSoon = createAnnouncer(clock, () => fleet.announce());
   const status = createServerStatus({
@@ -119,7 +132,7 @@
     servers,
     mayReceive,
     findFleet,
-    isStopping: () => isStopping,
+    isStopping,
   });
   const configurationTracker = createConfigurationTracker({
     dualClock,
@@ -162,6 +175,7 @@
     findFleet,
     findDispatcher: dispatchers.find,
     recordWaits: waits.record,
+    stopDeadline: stop.deadline,
   });
   const service: RelayService = createRelayService({
     ...context,
@@ -183,8 +197,9 @@
       listHeartbeats: () => fleet.listHeartbeats(),
     }),
     estimateWaitMs: waits.estimateMs,
-    findStopEndAt: () => stopEndAt,
-    isRejecting: () => isRejecting,
+    findStopEndAt: stop.findEndAt,
+    stopDeadline: stop.deadline,
+    isRejecting: stop.isRejecting,
     onServerReplaced,
   });
   const listener = createRelayListener({
@@ -193,10 +208,13 @@
     protocol,
     logger,
     getLimits: () => configurationTracker.current()?.configuration.limits,
-    isStopping: () => isStopping,
+    isStopping,
+    stopDeadline: stop.deadline,
   });
   const isReady = () =>
-    !isStopping && configurationTracker.current() !== undefined && servers.position().revision > 0;
+    !isStopping() &&
+    configurationTracker.current() !== undefined &&
+    servers.position().revision > 0;
   registerRelayGauges(metrics, {
     crashes,
     ...status,
@@ -232,7 +250,7 @@
     protocol,
     configurationTracker,
     servers,
-    isStopping: () => isStopping,
+    isStopping,
     isCutOff: paths.isCutOff,
     acceptTunnel: tunnels.accept,
     ...createHeartbeatContent({ waits, backends, crashes, ...status, versions: streams.versions }),
@@ -274,31 +292,7 @@
       await supervisor.stop();
       await backends.close();
     },
-    async stop() {
-      if (isStopping) return;
-      isStopping = true;
-      const since = clock.now();
-      const { graceMs } = environment;
-      stopEndAt = computeStopEndAt(since, graceMs);
-      logger.info('stopping', { activeRequests: service.countActive(), graceMs });
-      fleet.announce();
-      tunnels.announceStop();
-      await waitUntilDrained({
-        clock,
-        since,
-        graceMs,
-        isIdle: () =>
-          service.countActive() === 0 &&
-          dispatchers.countGroups() === 0 &&
-          tunnels.countCarried() === 0,
-        onBalancerSwitched: () => (isRejecting = true),
-      });
-      logger.info('stopped', {
-        cutOff: service.countActive(),
-        carried: tunnels.countCarried(),
-        durationMs: Math.round(clock.now() - since),
-      });
-    },
+    stop: stop.run,
     logReload: (detail) => logger.info('settings were read again', { detail }),
     logUnhandledRejection: (detail) => logger.error('unhandled promise rejection', { detail }),
   };
--- a/apps/daemon/src/lib/relay/createRelayListener.ts
+++ b/apps/daemon/src/lib/relay/createRelayListener.ts
@@ -7,7 +7,13 @@
   type Clock,
   type Failure,
 } from '@endiveferry/base';
-import type { CallerLimits, CallerRequest, RelayService, WireProtocol } from '@endiveferry/relay';
+import type {
+  CallerLimits,
+  CallerRequest,
+  RelayService,
+  StopDeadline,
+  WireProtocol,
+} from '@endiveferry/relay';
 import type { Logger } from '@endiveferry/telemetry';
 
 import { createCallerConnection } from '../createCallerConnection.js';
@@ -41,12 +47,17 @@
   /** Returns the configured limits, or undefined before the first configuration. */
   readonly getLimits: () => CallerLimits | undefined;
   readonly isStopping: () => boolean;
+  readonly stopDeadline: StopDeadline;
 }
 
 /** HTTP listener for callers. @internal */
 export interface RelayListener extends HttpServer {
   /** Applies the timeouts that the HTTP server itself enforces. */
   applyLimits(limits: CallerLimits): void;
+  /** Returns the number of responses that have not been written in full. */
+  readonly countOpen: () => number;
+  /** Breaks off all of these. */
+  abortOpen(): void;
 }
 
 function countHeaderBytes({ rawHeaders, url = '' }: IncomingMessage): number {
@@ -64,6 +75,7 @@
 export function createRelayListener(options: RelayListenerOptions): RelayListener {
   const { clock, service, protocol, logger, isStopping } = options;
   const getLimits = () => options.getLimits() ?? DEFAULT_LIMITS;
+  const open = new Set<ServerResponse>();
 
   function reject(response: ServerResponse, failure: Failure): void {
     logger.info('a request was rejected while it was read', {
@@ -84,7 +96,12 @@
       );
       return;
     }
+    const stopReading = options.stopDeadline.watch(() =>
+      reject(response, createNotRunFailure('draining', 'this host stops')),
+    );
     const body = await readRawBody(request, maxBodyBytes);
+    stopReading();
+    if (response.writableEnded) return;
     if (body.isErr()) {
       reject(response, body.error);
       return;
@@ -104,6 +121,8 @@
     {
       // Handles all requests, because their paths are defined by the configuration.
       onNoMatch(request, response) {
+        open.add(response);
+        response.once('close', () => open.delete(response));
         serve(request, response).catch((error: unknown) => {
           logger.error('unexpected error while serving a request', { error: describeError(error) });
           response.destroy();
@@ -121,5 +140,12 @@
     http.server.keepAliveTimeout = Math.min(idleTimeoutMs + IDLE_SLACK_MS, MAX_TIMER_MS);
   };
   applyLimits(DEFAULT_LIMITS);
-  return { ...http, applyLimits };
+  return {
+    ...http,
+    applyLimits,
+    countOpen: () => open.size,
+    abortOpen() {
+      for (const response of open) createResponder(response, isStopping).abort();
+    },
+  };
 }
--- a/apps/daemon/src/lib/relay/waitUntilDrained.ts
+++ b/apps/daemon/src/lib/relay/waitUntilDrained.ts
@@ -7,8 +7,8 @@
 const BALANCER_SWITCH_MS = 2_700;
 /** Part of the grace period reserved for exiting, in milliseconds. */
 const SHUTDOWN_MARGIN_MS = 400;
-/** Time before that by which requests that arrive during the stop are answered, in milliseconds. */
-const ANSWER_MARGIN_MS = 200;
+/** Time before that by which requests without a response are answered, in milliseconds. */
+const ANSWER_MARGIN_MS = 400;
 const POLL_INTERVAL_MS = 50;
 
 /** Options of {@link waitUntilDrained}. @internal */
@@ -25,10 +25,12 @@
    * be aborted at the end of the grace period, and other hosts can still serve them.
    */
   readonly onBalancerSwitched: () => void;
+  /** Called when the requests without a response have to be answered. */
+  readonly onAnswersDue: () => void;
 }
 
 /**
- * Computes the time by which requests that arrive while a host stops must be answered.
+ * Computes the time by which a stopping host must have answered the requests that it has.
  *
  * @param since - monotonic time at which the stop began, in milliseconds
  * @param graceMs - time between the start of the stop and the forced end, in milliseconds
@@ -45,12 +47,14 @@
  * @internal
  */
 export async function waitUntilDrained(options: DrainOptions): Promise<void> {
-  const { clock, since, graceMs, isIdle, onBalancerSwitched } = options;
+  const { clock, since, graceMs, isIdle } = options;
+  const answerAt = computeStopEndAt(since, graceMs);
   const endAt = since + graceMs - SHUTDOWN_MARGIN_MS;
   for (;;) {
     await waitFor(clock, POLL_INTERVAL_MS);
     const hasBalancerSwitched = clock.now() - since >= BALANCER_SWITCH_MS;
-    if (hasBalancerSwitched) onBalancerSwitched();
+    if (hasBalancerSwitched) options.onBalancerSwitched();
+    if (clock.now() >= answerAt) options.onAnswersDue();
     if ((hasBalancerSwitched && isIdle()) || clock.now() >= endAt) return;
   }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -41,6 +41,11 @@
   type ServerSignals,
   type ServerSignalsOptions,
 } from './lib/createServerSignals.js';
+export {
+  createStopDeadline,
+  type StopDeadline,
+  type StopDeadlineControl,
+} from './lib/createStopDeadline.js';
 export { createStageClient, type StageClient } from './lib/createStageClient.js';
 export {
   createStoreEpochs,
--- a/packages/relay/src/lib/ForwardRequest.ts
+++ b/packages/relay/src/lib/ForwardRequest.ts
@@ -16,6 +16,7 @@
 import type { Backend } from './createBackends.js';
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { ServerSignals } from './createServerSignals.js';
+import type { StopDeadline } from './createStopDeadline.js';
 import type { SuspectIds } from './createSuspectIds.js';
 import type { RequestMetadata, CallerRequest, WireProtocol } from './ports.js';
 import type { ListedServer, Route } from './RelayConfiguration.js';
@@ -68,6 +69,7 @@
   readonly checkServers: (group: BackendGroup) => Failure | undefined;
   readonly budget: RetryBudget;
   readonly crashes: CrashTracker;
+  readonly stopDeadline: StopDeadline;
   readonly signals: ServerSignals;
   /** Whether a server, as it was listed when it was chosen, may still get new requests. */
   readonly mayReceive: (server: ListedServer) => boolean;
--- a/packages/relay/src/lib/buildForwardFailure.ts
+++ b/packages/relay/src/lib/buildForwardFailure.ts
@@ -20,6 +20,9 @@
   if (request.connection.signal.aborted) {
     return { reason: 'cancelled', detail: 'the caller disconnected', execution };
   }
+  if (options.stopDeadline.hasPassed()) {
+    return { reason: 'draining', detail: 'this host stopped before the response', execution };
+  }
   if (options.clock.now() >= request.endAt && execution !== 'not-run') {
     return { reason: 'deadline-exceeded', detail: 'no response before the deadline', execution };
   }
--- a/packages/relay/src/lib/createInputPreparer.ts
+++ b/packages/relay/src/lib/createInputPreparer.ts
@@ -1,4 +1,10 @@
-import { createNotRunFailure, type Clock, type Failure, type PipelineId } from '@endiveferry/base';
+import {
+  createNotRunFailure,
+  NO_LONGER_NEEDED,
+  type Clock,
+  type Failure,
+  type PipelineId,
+} from '@endiveferry/base';
 import type { Logger } from '@endiveferry/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -7,6 +13,7 @@
 import { countTokens } from './countTokens.js';
 import { INITIAL_TOKEN_MS, type Backends } from './createBackends.js';
 import type { StageClient } from './createStageClient.js';
+import type { StopDeadline } from './createStopDeadline.js';
 import type { EngineInputs } from './ForwardRequest.js';
 import type { EstimateWaitMs } from './pieces/RankWait.js';
 import { rejectOversized } from './pieces/rejectOversized.js';
@@ -44,6 +51,7 @@
   readonly logger: Logger;
   readonly backends: Backends;
   readonly stages: StageClient;
+  readonly stopDeadline: StopDeadline;
   /** Estimates the waiting time at the pool of a stage, in milliseconds. */
   readonly estimateWaitMs: EstimateWaitMs;
 }
@@ -132,21 +140,46 @@
     );
   }
 
+  /** Runs stages until the caller leaves or a stop of this host ends. */
+  async function runUntilStop(
+    signal: AbortSignal,
+    run: (signal: AbortSignal) => Promise<Result<StagesOutput, Failure>>,
+  ): Promise<Result<StagesOutput, Failure>> {
+    const controller = new AbortController();
+    const abort = () => controller.abort(NO_LONGER_NEEDED);
+    if (signal.aborted) abort();
+    signal.addEventListener('abort', abort, { once: true });
+    const endWatch = options.stopDeadline.watch(abort);
+    try {
+      return await run(controller.signal);
+    } finally {
+      signal.removeEventListener('abort', abort);
+      endWatch();
+    }
+  }
+
+  async function runStagesTwice(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+  ): Promise<Result<StagesOutput, Failure>> {
+    const first = await runAllStages(admitted, signal);
+    // A result was lost with the replica that made it, or freed before its reader was done.
+    const wasLost = first.isErr() && first.error.reason === 'input-lost';
+    if (!wasLost || signal.aborted) return first;
+    logger.info('stage result lost; rerunning the stages of the request', {
+      requestId: admitted.metadata.requestId,
+      detail: first.error.detail,
+      remainingMs: Math.round(admitted.endAt - clock.now()),
+    });
+    return runAllStages(admitted, signal);
+  }
+
   return {
     async prepare(admitted, signal) {
       if (admitted.route.stages.length === 0) return ok(undefined);
       const rejection = checkStageSizes(admitted) ?? checkAdmission(admitted);
       if (rejection !== undefined) return err(rejection);
-      const first = await runAllStages(admitted, signal);
-      // A result was lost with the replica that made it, or freed before its reader was done.
-      const wasLost = first.isErr() && first.error.reason === 'input-lost';
-      if (!wasLost || signal.aborted) return first;
-      logger.info('stage result lost; rerunning the stages of the request', {
-        requestId: admitted.metadata.requestId,
-        detail: first.error.detail,
-        remainingMs: Math.round(admitted.endAt - clock.now()),
-      });
-      return runAllStages(admitted, signal);
+      return runUntilStop(signal, (ended) => runStagesTwice(admitted, ended));
     },
     describe(output) {
       const inputBytes = (output?.results ?? []).flatMap(({ serverId, bytes }) => {
--- a/packages/relay/src/lib/createRelayService.ts
+++ b/packages/relay/src/lib/createRelayService.ts
@@ -18,6 +18,7 @@
 import type { ConfigurationTracker } from './createConfigurationTracker.js';
 import { createInputPreparer } from './createInputPreparer.js';
 import type { StageClient } from './createStageClient.js';
+import type { StopDeadline } from './createStopDeadline.js';
 import { forwardToBackend } from './forwardToBackend.js';
 import type { ForwardOutcome } from './ForwardRequest.js';
 import type { ListedServer } from './RelayConfiguration.js';
@@ -82,6 +83,7 @@
   readonly estimateWaitMs: EstimateWaitMs;
   /** Returns the monotonic time by which this host has stopped; undefined while it does not stop. */
   readonly findStopEndAt: () => number | undefined;
+  readonly stopDeadline: StopDeadline;
   /** Whether this host stops too soon to finish new requests. */
   readonly isRejecting: () => boolean;
   /** Called when the address of a server turns out to belong to another server. */
@@ -144,6 +146,8 @@
     const failure = chooser.checkServers({ poolId: started.poolId, origin: origin.value });
     if (failure !== undefined) return err(failure);
     const output = await inputs.prepare(started, connection.signal);
+    if (output.isErr() && options.stopDeadline.hasPassed())
+      return err(createNotRunFailure('draining', 'this host stopped before the stages ended'));
     return output.map((value) => ({ admitted: started, origin: origin.value, output: value }));
   }
 
@@ -206,6 +210,7 @@
         origins: options.origins,
         budget: getRetryBudget(poolId),
         crashes: options.crashes,
+        stopDeadline: options.stopDeadline,
         signals: options.signals,
         mayReceive: options.mayReceive,
         metrics: options.relayMetrics,
--- a/packages/relay/src/lib/createStageClient.test.ts
+++ b/packages/relay/src/lib/createStageClient.test.ts
@@ -15,6 +15,7 @@
 
 import type { Fleet } from './createFleet.js';
 import { createRelayMetrics } from './createRelayMetrics.js';
+import { createStopDeadline } from './createStopDeadline.js';
 import { createStageClient } from './createStageClient.js';
 import type { PieceDispatcher } from './pieces/PieceDispatcher.js';
 import type { PieceGroup } from './pieces/WaitingGroup.js';
@@ -48,12 +49,17 @@
 /** Creates a client of a fleet whose other hosts are dispatchers, in this order. */
 function createHarness(request: Fleet['request'], others = [other]) {
   const clock = createFakeClock();
+  const stopDeadline = createStopDeadline();
   const localSignals: AbortSignal[] = [];
   const dispatcher: Pick<PieceDispatcher, 'run' | 'listWaits'> = {
     run({ key }, signal) {
       localSignals.push(signal);
-      if (key === HANGING_KEY) return new Promise(() => undefined);
-      if (signal.aborted) return Promise.resolve(err(createNotRunFailure('cancelled', 'left')));
+      const cancelled = err(createNotRunFailure('cancelled', 'left'));
+      if (key === HANGING_KEY)
+        return new Promise((resolve) => {
+          signal.addEventListener('abort', () => resolve(cancelled));
+        });
+      if (signal.aborted) return Promise.resolve(cancelled);
       return Promise.resolve(
         ok([{ serverId: backendServerIdSchema.parse('local'), handle: 'made here' }]),
       );
@@ -74,8 +80,9 @@
     findFleet: () => fleet as Fleet,
     findDispatcher: () => dispatcher as PieceDispatcher,
     recordWaits: () => undefined,
+    stopDeadline,
   });
-  return { client, clock, localSignals, notices };
+  return { client, clock, localSignals, notices, stopDeadline };
 }
 
 test('a stage of a request that was aborted before is not sent to a dispatcher', async () => {
@@ -179,3 +186,21 @@
     assert.deepEqual(notices, reportsAcceptance === true ? ['pieces-accepted'] : []);
   }
 });
+
+// Its stages were lost with it, although other dispatchers could still run them.
+test('a dispatcher refuses the stages that it has when its host has to answer', async () => {
+  const { client, stopDeadline } = createHarness(() => Promise.resolve(err(closedByPeer)));
+  const body = {
+    ...group,
+    inputs: [],
+    homeZone: 'a',
+    key: HANGING_KEY,
+    poolId,
+    orderId: `${other}/1`,
+    remainingMs: 5_000,
+    targetRemainingMs: 1_000,
+  };
+  const reply = client.handleRequest(other, 'run-pieces', body, new AbortController().signal);
+  stopDeadline.end();
+  await assert.rejects(reply ?? Promise.resolve(), /this host stops/);
+});
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -11,6 +11,7 @@
 
 import type { RelayMetrics } from './createRelayMetrics.js';
 import type { Fleet, HandleFleetRequest } from './createFleet.js';
+import type { StopDeadline } from './createStopDeadline.js';
 import { createStageRequestHandler } from './createStageRequestHandler.js';
 import {
   orderNoticeSchema,
@@ -65,6 +66,7 @@
   readonly metrics: Pick<RelayMetrics, 'recordStageRequest'>;
   /** Records the waiting times that a dispatcher on another host reports. */
   readonly recordWaits: (waits: ReportedWaits) => void;
+  readonly stopDeadline: StopDeadline;
 }
 
 /**
--- a/packages/relay/src/lib/createStageRequestHandler.ts
+++ b/packages/relay/src/lib/createStageRequestHandler.ts
@@ -40,7 +40,7 @@
  * @internal
  */
 export function createStageRequestHandler(options: StageClientOptions): HandleFleetRequest {
-  const { clock, logger, findFleet, findDispatcher } = options;
+  const { clock, logger, findFleet, findDispatcher, stopDeadline } = options;
   const abortControllers = new Map<string, AbortController>();
 
   /** Reports to a host that its order did not end this process. */
@@ -80,6 +80,7 @@
       controller.abort(NO_LONGER_NEEDED);
     };
     disconnectSignal.addEventListener('abort', abandon, { once: true });
+    const endWatch = stopDeadline.watch(() => controller.abort(NO_LONGER_NEEDED));
     const [preferredHost] = findFleet().listDispatchers(poolId);
     if (preferredHost !== findFleet().hostId) {
       logger.info('stage request received, although another host is preferred', {
@@ -109,10 +110,14 @@
         hasInputs ? reportFetched : undefined,
       );
       if (reportsAcceptance) reportAcceptance(from, orderId);
-      const outcome = encodeOutcome(await running);
+      const result = await running;
+      // The host that sent it then sends it to another dispatcher.
+      if (result.isErr() && stopDeadline.hasPassed()) throw new Error('this host stops');
+      const outcome = encodeOutcome(result);
       return { outcome, byRank: dispatcher.listWaits() };
     } finally {
       disconnectSignal.removeEventListener('abort', abandon);
+      endWatch();
       abortControllers.delete(orderId);
     }
   }
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -70,6 +70,9 @@
   request.connection.signal.addEventListener('abort', abort, { once: true });
   const mayRetry = isRepeatable(route) && state.sentAttempts + 1 < route.maxAttempts;
   void abortOnTimeout(state, controller, mayRetry);
+  const endWatch = options.stopDeadline.watch(() => {
+    if (!request.responder.hasStarted()) abort();
+  });
   const stream = { hasStarted: false };
   const deadlineAt = route.kind === 'streaming' ? request.streamEndAt : request.endAt;
   const running = backend.startCall(promptTokens);
@@ -109,6 +112,7 @@
     onData: (chunk) => relay.push(chunk),
   });
   running.end();
+  endWatch();
   controller.abort(NO_LONGER_NEEDED);
   request.connection.signal.removeEventListener('abort', abort);
   const outcome = classifyAttempt(result, metadata.requestId, options.protocol);
@@ -138,8 +142,9 @@
 /** Reserves an attempt at another server; false when no further attempt is allowed. */
 function reserveRetry(state: ForwardState, outcome: AttemptOutcome): boolean {
   const { request, options } = state;
-  const { clock } = options;
+  const { clock, stopDeadline } = options;
   if (request.connection.signal.aborted || clock.now() >= request.endAt) return false;
+  if (stopDeadline.hasPassed()) return false;
   if (outcome.kind === 'not-sent') {
     if (isWithheld(outcome)) return true;
     state.connectFailures += 1;
@@ -236,7 +241,8 @@
   options.budget.recordFirstAttempt();
   let outcome: AttemptOutcome | undefined;
   for (;;) {
-    if (!(await request.connection.confirm())) return sendResponse(state, outcome);
+    const isConnected = await request.connection.confirm();
+    if (!isConnected || options.stopDeadline.hasPassed()) return sendResponse(state, outcome);
     const crashFailure = checkSuspects(request.suspectIds, options.crashes);
     if (crashFailure !== undefined) {
       const { reason, detail } = crashFailure;
