End a second stop of a host with the first one

Cause: `stop` returned at once while a stop was running, and the process exits when it returns. Now all calls return when the one stop has ended.

Test that failed before: "a second stop ends with the first one, after the open requests".

--- a/apps/daemon/src/lib/relay/createHostStop.ts
+++ b/apps/daemon/src/lib/relay/createHostStop.ts
@@ -23,7 +23,7 @@
   /** Returns the monotonic time at which the deadline passes; undefined before the stop. */
   readonly findEndAt: () => number | undefined;
   readonly deadline: StopDeadline;
-  /** Stops the host; resolves when its process may end. */
+  /** Stops the host, once; resolves when its process may end. */
   readonly run: () => Promise<void>;
 }
 
@@ -52,6 +52,7 @@
   const deadline = createStopDeadline();
   let endAt: number | undefined;
   let isRejecting = false;
+  let stopped: Promise<void> | undefined;
 
   async function run(): Promise<void> {
     const since = clock.now();
@@ -80,8 +81,9 @@
     isRejecting: () => isRejecting,
     findEndAt: () => endAt,
     deadline,
-    async run() {
-      if (endAt === undefined) await run();
+    run() {
+      if (stopped !== undefined) logger.info('already stopping', { ...countWork() });
+      return (stopped ??= run());
     },
   };
 }
