Keep streams without end from taking the memory of a host

Reported by another operator, and seen by the users on real processes: hosts ended under streams of whole comments on 300 connections, and under events that stay open at 960 KB on 600.

Cause: a comment was forwarded and counted as an event; each event added a listener for `drain` while the caller did not read; open events were no part of the budget of all responses.

Change: comments wait for the event that follows them, within the limit of an event. What a stream keeps counts in the budget, from which the largest is cut. One wait for `drain` serves all events until the caller reads.

--- a/packages/relay/src/lib/createEventSplitter.test.ts
+++ b/packages/relay/src/lib/createEventSplitter.test.ts
@@ -34,3 +34,24 @@
   );
   assert.equal(splitter.rest().toString(), 'id: 8\r\nda');
 });
+
+// Comments without end counted as events, and kept a stalled stream alive.
+test('comments are no events, and stay before the event that follows', () => {
+  const splitter = createEventSplitter();
+  assert.deepEqual(splitter.push(Buffer.from(': keep\n\n: alive\r\n\r\n')), []);
+  assert.equal(splitter.isInEvent(), false);
+  assert.equal(splitter.countKept(), 19);
+  const [event] = splitter.push(Buffer.from(':c\nid: 3\ndata: a\n\n: last\n\n'));
+  assert.equal(event?.eventId, 3);
+  assert.equal(event.bytes.toString(), ': keep\n\n: alive\r\n\r\n:c\nid: 3\ndata: a\n\n');
+  assert.equal(splitter.rest().toString(), ': last\n\n');
+  assert.equal(splitter.isInEvent(), false);
+});
+
+test('comments without end are refused', () => {
+  const splitter = createEventSplitter();
+  const comments = Buffer.from(': keep\n\n'.repeat(8_000));
+  assert.throws(() => {
+    for (let sent = 0; sent < 20; sent += 1) splitter.push(comments);
+  }, /exceeds 1000000 bytes/);
+});
--- a/packages/relay/src/lib/createEventSplitter.ts
+++ b/packages/relay/src/lib/createEventSplitter.ts
@@ -1,7 +1,7 @@
 /** Largest incomplete event that is buffered, in bytes. */
 const MAX_EVENT_BYTES = 1_000_000;
 
-/** One complete event of a stream, unchanged. @public */
+/** One complete event of a stream, unchanged, with the comments before it. @public */
 export interface StreamEvent {
   readonly bytes: Buffer;
   /** Numeric id; undefined when the event has none. */
@@ -17,13 +17,19 @@
 export interface EventSplitter {
   /** Appends received bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly StreamEvent[];
-  /** Returns the buffered bytes of an incomplete event. */
+  /** Returns the buffered bytes: comments, and an incomplete event. */
   readonly rest: () => Buffer;
+  /** Returns the number of buffered bytes. */
+  readonly countKept: () => number;
+  /** Whether the stream stopped in the middle of an event. */
+  readonly isInEvent: () => boolean;
 }
 
 const EVENT_END = /\r?\n\r?\n/g;
 /** Length of the longest beginning of an event end that more bytes may complete. */
 const MAX_PARTIAL_END = 3;
+/** A block of the stream that only keeps the connection alive. */
+const COMMENT_BLOCK = /^(?::[^\n]*\n|\r?\n)*$/;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 
 /**
@@ -38,6 +44,8 @@
   let pending = '';
   /** Position in `pending` before which no event can end. */
   let searchedTo = 0;
+  /** Position in `pending` after its complete blocks, which are comments. */
+  let blockStart = 0;
   return {
     push(chunk) {
       pending += chunk.toString('latin1');
@@ -45,8 +53,11 @@
       let start = 0;
       EVENT_END.lastIndex = searchedTo;
       for (let end = EVENT_END.exec(pending); end !== null; end = EVENT_END.exec(pending)) {
-        const text = pending.slice(start, EVENT_END.lastIndex);
-        start = EVENT_END.lastIndex;
+        const block = pending.slice(blockStart, EVENT_END.lastIndex);
+        blockStart = EVENT_END.lastIndex;
+        if (COMMENT_BLOCK.test(block)) continue;
+        const text = pending.slice(start, blockStart);
+        start = blockStart;
         const eventId = ID_LINE.exec(text)?.[1];
         events.push({
           bytes: Buffer.from(text, 'latin1'),
@@ -54,12 +65,17 @@
         });
       }
       pending = pending.slice(start);
+      blockStart -= start;
       searchedTo = Math.max(0, pending.length - MAX_PARTIAL_END);
       if (pending.length > MAX_EVENT_BYTES) {
-        throw new Error(`an incomplete stream event exceeds ${MAX_EVENT_BYTES} bytes`);
+        throw new Error(
+          `an incomplete stream event with its comments exceeds ${MAX_EVENT_BYTES} bytes`,
+        );
       }
       return events;
     },
     rest: () => Buffer.from(pending, 'latin1'),
+    countKept: () => pending.length,
+    isInEvent: () => blockStart < pending.length,
   };
 }
--- a/packages/relay/src/lib/createStreamRelay.ts
+++ b/packages/relay/src/lib/createStreamRelay.ts
@@ -31,6 +31,8 @@
   readonly lastEventId: () => number | undefined;
   /** Returns the number of events forwarded. */
   readonly countEvents: () => number;
+  /** Returns the number of bytes that wait for the rest of their event. */
+  readonly countKept: () => number;
 }
 
 /** Options of a stream relay. @public */
@@ -57,12 +59,24 @@
   let source: ResponseStart | undefined;
   let lastEventId = options.resumeAfter;
   let count = 0;
+  let isWaitingForDrain = false;
 
   function startResponse(): void {
     if (source === undefined || responder.hasStarted()) return;
     responder.start(source.status, protocol.buildResponseHeaders(source.headers));
   }
 
+  /** One wait serves all events that the source had already sent. */
+  function pauseUntilDrained(): void {
+    source?.pause();
+    if (isWaitingForDrain) return;
+    isWaitingForDrain = true;
+    responder.onDrain(() => {
+      isWaitingForDrain = false;
+      source?.resume();
+    });
+  }
+
   function forwardEvent({ bytes, eventId }: StreamEvent): void {
     const isDuplicate =
       eventId !== undefined && lastEventId !== undefined && eventId <= lastEventId;
@@ -70,11 +84,7 @@
     lastEventId = eventId ?? lastEventId;
     count += 1;
     startResponse();
-    const pausedSource = source;
-    if (!responder.write(bytes) && pausedSource !== undefined) {
-      pausedSource.pause();
-      responder.onDrain(() => pausedSource.resume());
-    }
+    if (!responder.write(bytes)) pauseUntilDrained();
     options.onEvent();
   }
 
@@ -87,12 +97,14 @@
       for (const event of splitter.push(chunk)) forwardEvent(event);
     },
     end() {
-      if (splitter.rest().length > 0) return false;
+      if (splitter.isInEvent()) return false;
       startResponse();
+      if (splitter.countKept() > 0) responder.write(splitter.rest());
       responder.end();
       return true;
     },
     lastEventId: () => lastEventId,
     countEvents: () => count,
+    countKept: () => splitter.countKept(),
   };
 }
--- a/packages/relay/src/lib/forwardToBackend.ts
+++ b/packages/relay/src/lib/forwardToBackend.ts
@@ -110,6 +110,7 @@
       return stream.hasStarted;
     },
     onData: (chunk) => relay.push(chunk),
+    countKept: relay.countKept,
   });
   running.end();
   endWatch();
--- a/packages/routing/src/lib/createResponseBudget.ts
+++ b/packages/routing/src/lib/createResponseBudget.ts
@@ -13,6 +13,8 @@
 export interface ResponseBudget {
   /** Adds received bytes to a holder; aborts the largest holder if the budget is exceeded. */
   add(holder: BudgetHolder, bytes: number): void;
+  /** Sets the bytes of a holder; aborts the largest holder if the budget is exceeded. */
+  set(holder: BudgetHolder, bytes: number): void;
   /** Removes a holder whose response has ended. */
   release(holder: BudgetHolder): void;
 }
@@ -33,16 +35,21 @@
     holders.delete(holder);
   }
 
+  function set(holder: BudgetHolder, bytes: number): void {
+    release(holder);
+    if (bytes === 0) return;
+    holders.set(holder, bytes);
+    total += bytes;
+    if (total <= maxBytes) return;
+    const [largest] = [...holders].sort(([, first], [, second]) => second - first);
+    if (largest === undefined) return;
+    release(largest[0]);
+    largest[0].abort(new Error(`responses exceed ${maxBytes} bytes of memory`));
+  }
+
   return {
-    add(holder, bytes) {
-      holders.set(holder, (holders.get(holder) ?? 0) + bytes);
-      total += bytes;
-      if (total <= maxBytes) return;
-      const [largest] = [...holders].sort(([, first], [, second]) => second - first);
-      if (largest === undefined) return;
-      release(largest[0]);
-      largest[0].abort(new Error(`responses exceed ${maxBytes} bytes of memory`));
-    },
+    add: (holder, bytes) => set(holder, (holders.get(holder) ?? 0) + bytes),
+    set,
     release,
   };
 }
--- a/packages/routing/src/lib/endlessResponses.test.ts
+++ b/packages/routing/src/lib/endlessResponses.test.ts
@@ -89,3 +89,27 @@
 
 test('a call whose chunk header does not end is broken off', () =>
   assertIsBrokenOff(`${RESPONSE_START}transfer-encoding: chunked\r\n\r\n4;x=`, 'a'));
+
+// Open events were no part of the budget; 600 of them ended the process.
+test('streams that keep an event open are broken off when they exceed the budget together', () =>
+  withEndlessServer(`${RESPONSE_START}\r\n`, 'a', async ({ connections }) => {
+    const controller = new AbortController();
+    const calls = Array.from({ length: 24 }, () => {
+      let kept = 0;
+      return connections.send({
+        method: 'GET',
+        path: '/',
+        signal: controller.signal,
+        onData(chunk) {
+          // Each alone stays below the limit of an event.
+          kept = Math.min(900_000, kept + chunk.length);
+        },
+        countKept: () => kept,
+      });
+    });
+    const result = await Promise.race(calls);
+    controller.abort();
+    assert.equal(result.kind, 'unknown');
+    assert.match(result.detail, /bytes of memory/);
+    await Promise.all(calls);
+  }));
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -37,6 +37,8 @@
   readonly onSent?: () => void;
   /** Called with each chunk of the body of a streamed response. */
   readonly onData?: (chunk: Buffer) => void;
+  /** Returns the number of bytes of a streamed response that the consumer keeps in memory. */
+  readonly countKept?: () => number;
   /** Decides whether a response is streamed; defaults to those of status 200 if `onData` is set. */
   readonly onStart?: (start: ResponseStart) => boolean;
 }
@@ -173,6 +175,7 @@
       monitor.recordProgress();
       if (isStreamed) {
         call.onData?.(chunk);
+        if (call.countKept !== undefined) budget.set(holder, call.countKept());
         return;
       }
       if (body.size() + chunk.length > maxBytes) {
