Bound the messages that arrive from other hosts

Seen by the users: 30 connections to the port for other hosts that announce 31 MB and come slowly took 644 MB, and one of 23 sound callers was served.

Cause: each connection might hold 32 MB before it said who it is, and each chunk copied the message so far.

Change: chunks are joined once; 4 kB before the hello, which has to come within 5 s; one budget for the messages on all connections, from which the largest is cut. The budget of responses moves to the base package for this.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -8,6 +8,11 @@
   type Clock,
 } from './lib/clock.js';
 export { createDelayTracker, type DelayTracker } from './lib/createDelayTracker.js';
+export {
+  createMemoryBudget,
+  type MemoryBudget,
+  type MemoryHolder,
+} from './lib/createMemoryBudget.js';
 export { createFakeClock, type FakeClock } from './lib/createFakeClock.js';
 export { createStallMonitor } from './lib/createStallMonitor.js';
 export { createRandom, type Random } from './lib/createRandom.js';
--- a/packages/routing/src/lib/createResponseBudget.test.ts
+++ b/packages/base/src/lib/createMemoryBudget.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { createResponseBudget } from './createResponseBudget.js';
+import { createMemoryBudget } from './createMemoryBudget.js';
 
 function createHarness() {
-  const budget = createResponseBudget(100);
+  const budget = createMemoryBudget(100);
   const aborted: string[] = [];
   const createHolder = (name: string) => ({ abort: () => void aborted.push(name) });
   return { budget, aborted, createHolder };
--- a/packages/peers/src/lib/createPeerConnection.test.ts
+++ b/packages/peers/src/lib/createPeerConnection.test.ts
@@ -34,12 +34,9 @@
   withSocketPair(
     (socket) => socket.resume(),
     async (socket) => {
-      const connection = createPeerConnection(
-        socket,
-        clock,
-        () => Promise.resolve(),
-        KEEPALIVE_TIMEOUT_MS,
-      );
+      const connection = createPeerConnection(socket, clock, () => Promise.resolve(), {
+        keepaliveTimeoutMs: KEEPALIVE_TIMEOUT_MS,
+      });
       const reply = await connection.request('run-pieces', {}, REQUEST_TIMEOUT_MS);
       assert.equal(reply.isErr() && reply.error.kind, 'unknown');
       assert.equal(connection.isOpen(), false);
@@ -55,12 +52,9 @@
       });
     },
     async (socket) => {
-      const connection = createPeerConnection(
-        socket,
-        clock,
-        () => Promise.resolve(),
-        KEEPALIVE_TIMEOUT_MS,
-      );
+      const connection = createPeerConnection(socket, clock, () => Promise.resolve(), {
+        keepaliveTimeoutMs: KEEPALIVE_TIMEOUT_MS,
+      });
       const reply = await connection.request('run-pieces', {}, REQUEST_TIMEOUT_MS);
       assert.equal(reply.isOk() && reply.value, 'done');
     },
--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -1,17 +1,21 @@
 import type { Socket } from 'node:net';
 
-import { describeError, NO_LONGER_NEEDED, type Clock } from '@endiveferry/base';
+import {
+  describeError,
+  NO_LONGER_NEEDED,
+  type Clock,
+  type MemoryBudget,
+  type MemoryHolder,
+} from '@endiveferry/base';
 import { Decoder, Encoder } from 'cbor-x';
 import { err, ok, type Result } from 'neverthrow';
 
+import { createFrameReader, LENGTH_PREFIX_BYTES, MAX_MESSAGE_BYTES } from './createFrameReader.js';
 import { createKeepaliveMonitor } from './createKeepaliveMonitor.js';
 import { parsePeerMessage, type PeerMessage, type PeerRequestKind } from './messages.js';
 
-const LENGTH_PREFIX_BYTES = 4;
 /** Errors of a connection that the remote host has closed. */
 const PEER_CLOSE_ERRORS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
-/** Maximum length of a message, in bytes; a configuration can take up several megabytes. */
-const MAX_MESSAGE_BYTES = 32_000_000;
 
 /**
  * Failure of a request to another host.
@@ -72,27 +76,21 @@
   readonly countBytes: () => number;
 }
 
-interface PendingRequest {
-  readonly finish: (result: Result<unknown, PeerFailure>) => void;
+/** Options of {@link createPeerConnection}. @public */
+export interface PeerConnectionOptions {
+  /**
+   * Time without received data after which a connection with pending requests is closed, in
+   * milliseconds; undefined relies on the timeouts of requests alone.
+   */
+  readonly keepaliveTimeoutMs?: number | undefined;
+  /** Memory for messages that arrive, shared with other connections. */
+  readonly budget?: MemoryBudget;
+  /** Returns the maximum length of the next message, in bytes. */
+  readonly findMaxMessageBytes?: () => number;
 }
 
-/**
- * Splits a byte stream into length-prefixed messages. The returned function takes the next chunk
- * and returns false when a message exceeds the maximum length.
- */
-function createFrameReader(onFrame: (frame: Buffer) => void) {
-  let buffered: Buffer = Buffer.alloc(0);
-  return (chunk: Buffer): boolean => {
-    buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-    while (buffered.length >= LENGTH_PREFIX_BYTES) {
-      const length = buffered.readUInt32BE(0);
-      if (length > MAX_MESSAGE_BYTES) return false;
-      if (buffered.length < LENGTH_PREFIX_BYTES + length) break;
-      onFrame(buffered.subarray(LENGTH_PREFIX_BYTES, LENGTH_PREFIX_BYTES + length));
-      buffered = buffered.subarray(LENGTH_PREFIX_BYTES + length);
-    }
-    return true;
-  };
+interface PendingRequest {
+  readonly finish: (result: Result<unknown, PeerFailure>) => void;
 }
 
 /**
@@ -101,8 +99,7 @@
  * @param socket - the socket, plain or TLS
  * @param clock - schedules request timeouts and keepalive checks
  * @param handleRequest - handles the requests of the remote host
- * @param keepaliveTimeoutMs - time without received data after which a connection with pending
- *   requests is closed, in milliseconds; undefined relies on the timeouts of requests alone
+ * @param options - see {@link PeerConnectionOptions}
  * @returns the connection
  * @public
  */
@@ -110,8 +107,9 @@
   socket: Socket,
   clock: Clock,
   handleRequest: HandlePeerRequest,
-  keepaliveTimeoutMs?: number,
+  options: PeerConnectionOptions = {},
 ): PeerConnection {
+  const { keepaliveTimeoutMs, budget, findMaxMessageBytes = () => MAX_MESSAGE_BYTES } = options;
   const encoder = new Encoder({ useRecords: false });
   const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
   const pending = new Map<number, PendingRequest>();
@@ -181,7 +179,12 @@
     handle(message);
   }
 
-  const readFrames = createFrameReader(handleFrame);
+  const holder: MemoryHolder = { abort: (reason) => socket.destroy(reason) };
+  const readFrames = createFrameReader({
+    onFrame: handleFrame,
+    findMaxBytes: findMaxMessageBytes,
+    onKept: (bytes) => budget?.set(holder, bytes),
+  });
   socket.setNoDelay(true);
   const receive = (chunk: Buffer) => {
     keepalive?.recordReceived();
@@ -199,6 +202,7 @@
     });
     socket.on('close', () => {
       keepalive?.stop();
+      budget?.release(holder);
       disconnect.abort(NO_LONGER_NEEDED);
       for (const { finish } of [...pending.values()]) {
         const detail = 'the connection closed before the reply';
@@ -237,6 +241,7 @@
     detach() {
       keepalive?.stop();
       socket.off('data', receive);
+      budget?.release(holder);
       socket.pause();
       return socket;
     },
--- a/packages/peers/src/lib/createPeerNetwork.ts
+++ b/packages/peers/src/lib/createPeerNetwork.ts
@@ -1,7 +1,14 @@
-import { describeError, isAborted, waitFor, type HostId } from '@endiveferry/base';
+import {
+  createMemoryBudget,
+  describeError,
+  isAborted,
+  waitFor,
+  type HostId,
+} from '@endiveferry/base';
 import { parseAddress } from '@endiveferry/settings';
 import { err } from 'neverthrow';
 
+import { MAX_MESSAGE_BYTES } from './createFrameReader.js';
 import { createLinkStateMachine, type LinkStateMachine } from './createLinkStateMachine.js';
 import { createOnDemandConnections } from './createOnDemandConnections.js';
 import { createPeerConnection, type PeerConnection } from './createPeerConnection.js';
@@ -61,6 +68,8 @@
     return Promise.resolve(codec.compact(options.buildHeartbeat()));
   };
 
+  const budget = createMemoryBudget(MAX_MESSAGE_BYTES);
+
   /** Opens a connection and performs the hello exchange. */
   async function openConnection(hostId: HostId): Promise<PeerConnection> {
     const address = options.findAddress(hostId);
@@ -74,7 +83,7 @@
       socket,
       clock,
       (kind, body, signal) => handleRequest(hostId, kind, body, signal),
-      options.keepaliveTimeoutMs,
+      { keepaliveTimeoutMs: options.keepaliveTimeoutMs, budget },
     );
     void connection.closed.then(() => {
       bytesOfClosedConnections += connection.countBytes();
@@ -178,7 +187,7 @@
     return isUsable ? link.connection : undefined;
   }
 
-  const listener: PeerListener = await startPeerListener({ ...options, handleRequest });
+  const listener: PeerListener = await startPeerListener({ ...options, handleRequest, budget });
 
   return {
     address: listener.address,
--- a/packages/peers/src/lib/startPeerListener.ts
+++ b/packages/peers/src/lib/startPeerListener.ts
@@ -1,14 +1,24 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { createServer as createTlsServer, TLSSocket } from 'node:tls';
 
-import type { Clock, HostId, ProcessId } from '@endiveferry/base';
+import type { Clock, HostId, MemoryBudget, ProcessId } from '@endiveferry/base';
 import { parseAddress } from '@endiveferry/settings';
 import type { Logger } from '@endiveferry/telemetry';
 
-import { createPeerConnection, type PeerConnection } from './createPeerConnection.js';
+import { MAX_MESSAGE_BYTES } from './createFrameReader.js';
+import {
+  createPeerConnection,
+  type HandlePeerRequest,
+  type PeerConnection,
+} from './createPeerConnection.js';
 import { helloSchema, type PeerRequestKind } from './messages.js';
 import { findCertificateHost, type TlsKeys } from './openPeerSocket.js';
 
+/** Maximum length of a message before the hello of a connection, in bytes. */
+const MAX_HELLO_BYTES = 4_096;
+/** Time in which a connection has to say its hello, in milliseconds. */
+const HELLO_TIMEOUT_MS = 5_000;
+
 /**
  * Handles a request of an identified host; a thrown error rejects the request. The signal aborts
  * when the connection to the host closes.
@@ -50,6 +60,8 @@
   readonly isListed: (hostId: HostId) => boolean;
   readonly handleRequest: HandleHostRequest;
   readonly acceptTunnel?: AcceptTunnel;
+  /** Memory for the messages that arrive on all connections. */
+  readonly budget: MemoryBudget;
 }
 
 /**
@@ -90,7 +102,7 @@
     return reply;
   }
 
-  const connection = createPeerConnection(socket, options.clock, (kind, body, signal) => {
+  const handleRequest: HandlePeerRequest = (kind, body, signal) => {
     if (kind === 'hello') {
       hostId = checkHello(socket, body, options);
       return Promise.resolve({ processId: options.processId });
@@ -100,7 +112,15 @@
     if (!options.isListed(hostId)) throw new PeerRejectedError(`${hostId} is not on the list`);
     if (kind === 'open-tunnel') return acceptTunnel(hostId, body);
     return options.handleRequest(hostId, kind, body, signal);
+  };
+  const connection = createPeerConnection(socket, options.clock, handleRequest, {
+    budget: options.budget,
+    findMaxMessageBytes: () => (hostId === undefined ? MAX_HELLO_BYTES : MAX_MESSAGE_BYTES),
+  });
+  const cancelTimeout = options.clock.schedule(HELLO_TIMEOUT_MS, () => {
+    if (hostId === undefined) connection.destroy();
   });
+  void connection.closed.then(cancelTimeout);
   return connection;
 }
 
--- a/packages/relay/src/lib/createBackends.ts
+++ b/packages/relay/src/lib/createBackends.ts
@@ -1,6 +1,11 @@
-import type { BackendServerId, Clock, PoolId, Random } from '@endiveferry/base';
 import {
-  createResponseBudget,
+  createMemoryBudget,
+  type BackendServerId,
+  type Clock,
+  type PoolId,
+  type Random,
+} from '@endiveferry/base';
+import {
   createServerConnections,
   createServerHealth,
   type ServerConnections,
@@ -107,7 +112,7 @@
  */
 export function createBackends(options: BackendsOptions): Backends {
   const { clock, random, logger } = options;
-  const budget = createResponseBudget(MAX_RESPONSES_BYTES);
+  const budget = createMemoryBudget(MAX_RESPONSES_BYTES);
   const backends = new Map<BackendServerId, CheckedBackend>();
 
   let backendsByPool: ReadonlyMap<PoolId, readonly CheckedBackend[]> = new Map();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,7 +12,6 @@
   type CrashTracker,
   type CrashTrackerOptions,
 } from './lib/createCrashTracker.js';
-export { createResponseBudget, type ResponseBudget } from './lib/createResponseBudget.js';
 export {
   createServerConnections,
   type ConnectionOptions,
--- a/packages/routing/src/lib/createServerConnections.ts
+++ b/packages/routing/src/lib/createServerConnections.ts
@@ -1,8 +1,8 @@
 import type { Socket } from 'node:net';
 
+import { createMemoryBudget, type MemoryBudget } from '@endiveferry/base';
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 
-import { createResponseBudget, type ResponseBudget } from './createResponseBudget.js';
 import { createSocketMonitor, type SocketMonitor } from './createSocketMonitor.js';
 import type { ServerSocket } from './ServerSocket.js';
 import { sendCall, type Call, type CallResult } from './sendCall.js';
@@ -92,7 +92,7 @@
   /** Maximum number of connections, apart from probes; further calls wait; `null` for no limit. */
   readonly maxConnections?: number | null;
   /** Memory for responses, shared with the connections to other servers. */
-  readonly budget?: ResponseBudget;
+  readonly budget?: MemoryBudget;
   /** Opens the sockets of all connections; directly by default. */
   readonly openSocket?: OpenServerSocket;
   /** Path that responds while the server is alive. */
@@ -112,7 +112,7 @@
   options: ConnectionOptions = {},
 ): ServerConnections {
   const { maxConnections = null, probePath = LOAD_PATH } = options;
-  const budget = options.budget ?? createResponseBudget(DEFAULT_BUDGET_BYTES);
+  const budget = options.budget ?? createMemoryBudget(DEFAULT_BUDGET_BYTES);
   const monitor = createSocketMonitor();
   const environment = { monitor, budget };
   const connector = createConnector(monitor, options.openSocket ?? ((connect) => connect()));
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -1,8 +1,12 @@
-import { describeError, type FailureReason } from '@endiveferry/base';
+import {
+  describeError,
+  type FailureReason,
+  type MemoryBudget,
+  type MemoryHolder,
+} from '@endiveferry/base';
 import { errors, type Dispatcher } from 'undici';
 
 import { createResponseBuffer } from './createResponseBuffer.js';
-import type { BudgetHolder, ResponseBudget } from './createResponseBudget.js';
 import type { SocketMonitor } from './createSocketMonitor.js';
 
 /** Maximum size of a response that is buffered in memory, in bytes, unless the call has its own. */
@@ -95,7 +99,7 @@
    * although the client library treats it as complete.
    */
   readonly monitor: Pick<SocketMonitor, 'isFailing' | 'recordProgress'>;
-  readonly budget: ResponseBudget;
+  readonly budget: MemoryBudget;
 }
 
 /** Error of a call that this module aborted. */
@@ -127,7 +131,7 @@
     if (abortRequest === undefined) end({ kind: 'not-sent', reason: 'cancelled', detail });
     else abortRequest(new CallAbortedError('cancelled', detail));
   };
-  const holder: BudgetHolder = { abort: (reason) => abortRequest?.(reason) };
+  const holder: MemoryHolder = { abort: (reason) => abortRequest?.(reason) };
   const end = (result: CallResult) => {
     budget.release(holder);
     call.signal?.removeEventListener('abort', onAbort);
