--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -87,6 +87,8 @@
   readonly budget?: MemoryBudget;
   /** Returns the maximum length of the next message, in bytes. */
   readonly findMaxMessageBytes?: () => number;
+  /** Called with the reason when the connection fails. */
+  readonly onFailed?: (error: Error) => void;
 }
 
 interface PendingRequest {
@@ -199,6 +201,7 @@
     socket.on('end', () => (isClosedByPeer = true));
     socket.on('error', (error: NodeJS.ErrnoException) => {
       if (PEER_CLOSE_ERRORS.has(error.code ?? '')) isClosedByPeer = true;
+      options.onFailed?.(error);
     });
     socket.on('close', () => {
       keepalive?.stop();
--- a/packages/peers/src/lib/startPeerListener.ts
+++ b/packages/peers/src/lib/startPeerListener.ts
@@ -92,6 +92,7 @@
 }
 
 function handleSocket(socket: Socket, options: PeerListenerOptions): PeerConnection {
+  const { remoteAddress } = socket;
   let hostId: HostId | undefined;
 
   async function acceptTunnel(from: HostId, body: unknown): Promise<unknown> {
@@ -116,9 +117,15 @@
   const connection = createPeerConnection(socket, options.clock, handleRequest, {
     budget: options.budget,
     findMaxMessageBytes: () => (hostId === undefined ? MAX_HELLO_BYTES : MAX_MESSAGE_BYTES),
+    onFailed: (error) =>
+      options.logger.info('an incoming connection failed', {
+        peer: hostId ?? 'unknown',
+        remoteAddress,
+        error: error.message,
+      }),
   });
   const cancelTimeout = options.clock.schedule(HELLO_TIMEOUT_MS, () => {
-    if (hostId === undefined) connection.destroy();
+    if (hostId === undefined) socket.destroy(new Error(`no hello within ${HELLO_TIMEOUT_MS} ms`));
   });
   void connection.closed.then(cancelTimeout);
   return connection;
