Tell a stage that is late from one that is too large

Only results that do not fit in the pool's memory are too large; work that does not fit in the time left is `deadline-exceeded`, as late pieces are.

--- a/packages/relay/src/lib/pieces/rejectOversized.ts
+++ b/packages/relay/src/lib/pieces/rejectOversized.ts
@@ -36,10 +36,10 @@
   const callCount = Math.ceil(pieceCount / batch);
   const workMs = callCount * callMs + pieceCount * pieceMs;
   const leastMs = (workMs / (count * slots)) * FASTEST_TIME_SHARE;
-  const fits = pieceCount * resultBytes <= count * resultMemoryBytes;
-  if (fits && now + leastMs <= endAt) return undefined;
-  return createNotRunFailure(
-    'too-large',
-    `a stage of ${pieceCount} pieces is more than ${count} servers of its pool can complete in time`,
-  );
+  const described = `a stage of ${pieceCount} pieces is more than ${count} servers of its pool`;
+  if (pieceCount * resultBytes > count * resultMemoryBytes)
+    return createNotRunFailure('too-large', `${described} have memory for`);
+  if (now + leastMs <= endAt) return undefined;
+  const leftMs = Math.max(0, Math.round(endAt - now));
+  return createNotRunFailure('deadline-exceeded', `${described} can complete in ${leftMs} ms`);
 }
