--- a/packages/relay/src/lib/createInputPreparer.ts
+++ b/packages/relay/src/lib/createInputPreparer.ts
@@ -158,7 +158,8 @@
     }
   }
 
-  async function runStagesTwice(
+  /** Runs the stages of a request, and once more if a result was lost. */
+  async function runStagesWithRerun(
     admitted: AdmittedRequest,
     signal: AbortSignal,
   ): Promise<Result<StagesOutput, Failure>> {
@@ -179,7 +180,7 @@
       if (admitted.route.stages.length === 0) return ok(undefined);
       const rejection = checkStageSizes(admitted) ?? checkAdmission(admitted);
       if (rejection !== undefined) return err(rejection);
-      return runUntilStop(signal, (ended) => runStagesTwice(admitted, ended));
+      return runUntilStop(signal, (ended) => runStagesWithRerun(admitted, ended));
     },
     describe(output) {
       const inputBytes = (output?.results ?? []).flatMap(({ serverId, bytes }) => {
--- a/packages/relay/src/lib/tunnels/createTunnelSocket.ts
+++ b/packages/relay/src/lib/tunnels/createTunnelSocket.ts
@@ -3,7 +3,7 @@
 
 import type { ServerSocket } from '@endiveferry/routing';
 
-import { createFrameReader } from './tunnelFrames.js';
+import { createTunnelReader } from './tunnelFrames.js';
 
 /**
  * Creates the socket of a connection to a server that another host carries. It ends only if the
@@ -28,7 +28,7 @@
       done(error);
     },
   });
-  const readFrames = createFrameReader({
+  const readFrames = createTunnelReader({
     onBytes(bytes) {
       bytesRead += bytes.length;
       if (!socket.push(bytes)) carrier.pause();
--- a/packages/relay/src/lib/tunnels/tunnelFrames.test.ts
+++ b/packages/relay/src/lib/tunnels/tunnelFrames.test.ts
@@ -4,7 +4,7 @@
 import { readPropertyOptions } from '@endiveferry/base';
 import fc from 'fast-check';
 
-import { buildFrameHead, createFrameReader, END_FRAME, STOP_FRAME } from './tunnelFrames.js';
+import { buildFrameHead, createTunnelReader, END_FRAME, STOP_FRAME } from './tunnelFrames.js';
 
 const bodyArbitrary = fc.uint8Array({ minLength: 1, maxLength: 300 });
 const partArbitrary = fc.oneof(bodyArbitrary, fc.constant('stop' as const));
@@ -15,7 +15,7 @@
 function readChunks(chunks: readonly Buffer[]) {
   const bytes: Buffer[] = [];
   const marks = { stops: 0, ends: 0 };
-  const read = createFrameReader({
+  const read = createTunnelReader({
     onBytes: (part) => bytes.push(Buffer.from(part)),
     onStop: () => (marks.stops += 1),
     onEnd: () => (marks.ends += 1),
--- a/packages/relay/src/lib/tunnels/tunnelFrames.ts
+++ b/packages/relay/src/lib/tunnels/tunnelFrames.ts
@@ -40,7 +40,7 @@
  * @returns a function that takes the next chunk
  * @internal
  */
-export function createFrameReader(handlers: FrameHandlers): (chunk: Buffer) => void {
+export function createTunnelReader(handlers: FrameHandlers): (chunk: Buffer) => void {
   const head = Buffer.alloc(LENGTH_BYTES);
   let headBytes = 0;
   let remaining = 0;
