--- a/packages/relay/src/lib/createStageClient.test.ts
+++ b/packages/relay/src/lib/createStageClient.test.ts
@@ -46,6 +46,18 @@
   targetEndAt: 1_000,
 };
 
+/** A stage of another host, as its dispatcher gets it. */
+const runBody = {
+  ...group,
+  inputs: [],
+  homeZone: 'a',
+  key: HANGING_KEY,
+  poolId,
+  orderId: `${other}/1`,
+  remainingMs: 5_000,
+  targetRemainingMs: 1_000,
+};
+
 /** Creates a client of a fleet whose other hosts are dispatchers, in this order. */
 function createHarness(request: Fleet['request'], others = [other]) {
   const clock = createFakeClock();
@@ -102,16 +114,7 @@
     Promise.resolve(err({ kind: 'unknown', detail: 'no reply' })),
   );
   const connection = new AbortController();
-  const body = {
-    ...group,
-    inputs: [],
-    homeZone: 'a',
-    poolId,
-    orderId: `${other}/1`,
-    remainingMs: 5_000,
-    targetRemainingMs: 1_000,
-  };
-  void client.handleRequest(other, 'run-pieces', body, connection.signal);
+  void client.handleRequest(other, 'run-pieces', runBody, connection.signal);
   assert.equal(localSignals[0]?.aborted, false);
   connection.abort();
   assert.equal(localSignals[0].aborted, true);
@@ -170,17 +173,7 @@
 test('a dispatcher reports to hosts that ask for it that it accepted a stage', async () => {
   for (const reportsAcceptance of [true, undefined]) {
     const { client, clock, notices } = createHarness(() => Promise.resolve(err(closedByPeer)));
-    const body = {
-      ...group,
-      inputs: [],
-      homeZone: 'a',
-      key: HANGING_KEY,
-      poolId,
-      orderId: `${other}/1`,
-      remainingMs: 5_000,
-      targetRemainingMs: 1_000,
-      reportsAcceptance,
-    };
+    const body = { ...runBody, reportsAcceptance };
     void client.handleRequest(other, 'run-pieces', body, new AbortController().signal);
     await clock.advance(100);
     assert.deepEqual(notices, reportsAcceptance === true ? ['pieces-accepted'] : []);
@@ -190,17 +183,7 @@
 // Its stages were lost with it, although other dispatchers could still run them.
 test('a dispatcher refuses the stages that it has when its host has to answer', async () => {
   const { client, stopDeadline } = createHarness(() => Promise.resolve(err(closedByPeer)));
-  const body = {
-    ...group,
-    inputs: [],
-    homeZone: 'a',
-    key: HANGING_KEY,
-    poolId,
-    orderId: `${other}/1`,
-    remainingMs: 5_000,
-    targetRemainingMs: 1_000,
-  };
-  const reply = client.handleRequest(other, 'run-pieces', body, new AbortController().signal);
+  const reply = client.handleRequest(other, 'run-pieces', runBody, new AbortController().signal);
   stopDeadline.end();
   await assert.rejects(reply ?? Promise.resolve(), /this host stops/);
 });
--- a/packages/relay/src/lib/pieces/rejectOversized.test.ts
+++ b/packages/relay/src/lib/pieces/rejectOversized.test.ts
@@ -1,16 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { capacity } from './createDispatcherHarness.js';
 import { rejectOversized } from './rejectOversized.js';
 
-const capacity = {
-  slots: 1,
-  batch: 10,
-  callMs: 240,
-  pieceMs: 10,
-  resultMemoryBytes: 1_000_000,
-  resultTtlMs: 4_000,
-};
 const pool = { capacity, replicaCount: 2, now: 0 };
 const group = { pieceCount: 20, resultBytes: 1_000, endAt: 10_000 };
 
