Tell from its own connection whether a dispatcher survived a stage

Suspected, not proved: a timer and a message more for each stage, at the host that binds. The connection already tells the same: data that came 100 ms or more after the stage was sent. The notice, its kind of message and its timer are gone.

--- a/packages/peers/src/lib/createPeerConnection.ts
+++ b/packages/peers/src/lib/createPeerConnection.ts
@@ -31,6 +31,11 @@
   readonly detail: string;
   /** Whether the remote host closed the connection, for example because its process ended. */
   readonly isClosedByPeer?: boolean;
+  /**
+   * Time from the request to the last data that the remote host sent on the connection, in
+   * milliseconds; negative if none came after the request.
+   */
+  readonly answeredMs?: number;
 }
 
 /**
@@ -92,6 +97,7 @@
 }
 
 interface PendingRequest {
+  readonly sentAt: number;
   readonly finish: (result: Result<unknown, PeerFailure>) => void;
 }
 
@@ -119,6 +125,7 @@
   let nextId = 1;
   let isClosing = false;
   let isClosedByPeer = false;
+  let lastReceivedAt = clock.now();
   const keepalive =
     keepaliveTimeoutMs === undefined
       ? undefined
@@ -189,6 +196,7 @@
   });
   socket.setNoDelay(true);
   const receive = (chunk: Buffer) => {
+    lastReceivedAt = clock.now();
     keepalive?.recordReceived();
     try {
       if (!readFrames(chunk)) socket.destroy(new Error('received an oversized message'));
@@ -207,9 +215,10 @@
       keepalive?.stop();
       budget?.release(holder);
       disconnect.abort(NO_LONGER_NEEDED);
-      for (const { finish } of [...pending.values()]) {
+      for (const { finish, sentAt } of [...pending.values()]) {
         const detail = 'the connection closed before the reply';
-        finish(err({ kind: 'unknown', detail, isClosedByPeer }));
+        const answeredMs = lastReceivedAt - sentAt;
+        finish(err({ kind: 'unknown', detail, isClosedByPeer, answeredMs }));
       }
       resolve();
     });
@@ -233,7 +242,7 @@
         const cancelTimer = clock.schedule(timeoutMs, () =>
           finish(err({ kind: 'unknown', detail: `no reply within ${timeoutMs} ms` })),
         );
-        pending.set(id, { finish });
+        pending.set(id, { finish, sentAt: clock.now() });
         keepalive?.start();
         send({ type: 'request', id, kind, body });
       });
--- a/packages/peers/src/lib/messages.ts
+++ b/packages/peers/src/lib/messages.ts
@@ -21,7 +21,6 @@
   | 'read-servers'
   | 'run-pieces'
   | 'cancel-pieces'
-  | 'pieces-accepted'
   | 'inputs-fetched'
   | 'free-results'
   | 'record-streams'
@@ -39,7 +38,6 @@
   'read-servers',
   'run-pieces',
   'cancel-pieces',
-  'pieces-accepted',
   'inputs-fetched',
   'free-results',
   'record-streams',
--- a/packages/relay/src/lib/createStageClient.ts
+++ b/packages/relay/src/lib/createStageClient.ts
@@ -14,7 +14,7 @@
 import type { StopDeadline } from './createStopDeadline.js';
 import { createStageRequestHandler } from './createStageRequestHandler.js';
 import {
-  orderNoticeSchema,
+  inputsFetchedSchema,
   runPiecesReplySchema,
   type RunPiecesRequest,
   type RunPiecesReply,
@@ -27,6 +27,11 @@
 const REPLY_MARGIN_MS = 200;
 /** Maximum number of dispatchers that a stage of a request is sent to. */
 const MAX_DISPATCHER_ATTEMPTS = 3;
+/**
+ * Time after a stage was sent from which data of its dispatcher proves that the dispatcher survived
+ * the arrival of the stage, in milliseconds; what comes earlier may have been sent before.
+ */
+const MIN_ANSWERED_MS = 100;
 /** Number of dispatchers lost with a stage after which it is not sent to another one. */
 const MAX_LOST_DISPATCHERS = 2;
 
@@ -74,8 +79,8 @@
  *
  * - `settled`: the dispatcher replied with the outcome of the stage.
  * - `unreached`: the host is unreachable or has no dispatcher, or did not reply in time.
- * - `lost`: the dispatcher's process ended after it had accepted the stage.
- * - `suspect`: it ended before, so that the stage itself may have ended it.
+ * - `lost`: the dispatcher's process ended some time after the stage had arrived.
+ * - `suspect`: it sent nothing more once the stage had arrived, so that the stage may have ended it.
  */
 type HostOutcome =
   | { readonly kind: 'settled'; readonly result: Result<readonly PieceResult[], Failure> }
@@ -106,8 +111,6 @@
   const { clock, logger, findFleet, findDispatcher } = options;
   const handleStageRequest = createStageRequestHandler(options);
   const fetchHandlers = new Map<string, () => void>();
-  /** Orders at other hosts, with whether the host has accepted them. */
-  const acceptedOrders = new Map<string, boolean>();
   let lastOrderNumber = 0;
 
   function buildRunRequest(poolId: PoolId, orderId: string, group: PieceGroup): RunPiecesRequest {
@@ -125,7 +128,6 @@
         : {}),
       remainingMs: endAt - clock.now(),
       targetRemainingMs: targetEndAt - clock.now(),
-      reportsAcceptance: true,
     };
   }
 
@@ -143,12 +145,9 @@
     signal.addEventListener('abort', cancel, { once: true });
     const timeoutMs = Math.max(1, runRequest.remainingMs) + REPLY_MARGIN_MS;
     fetchHandlers.set(orderId, onInputsFetched);
-    acceptedOrders.set(orderId, false);
     const sentAt = clock.now();
     const reply = await findFleet().request(hostId, 'run-pieces', runRequest, timeoutMs);
     fetchHandlers.delete(orderId);
-    const isAccepted = acceptedOrders.get(orderId) === true;
-    acceptedOrders.delete(orderId);
     signal.removeEventListener('abort', cancel);
     options.metrics.recordStageRequest(poolId, reply.isOk() ? 'answered' : 'unanswered');
     if (reply.isOk()) {
@@ -156,8 +155,9 @@
       options.recordWaits({ poolId, ageMs: 0, byRank });
       return { kind: 'settled', result: decodeOutcome(outcome) };
     }
-    const lostKind = isAccepted ? 'lost' : 'suspect';
-    const kind = reply.error.isClosedByPeer === true ? lostKind : 'unreached';
+    const { isClosedByPeer = false, answeredMs = 0 } = reply.error;
+    const lostKind = answeredMs >= MIN_ANSWERED_MS ? 'lost' : 'suspect';
+    const kind = isClosedByPeer ? lostKind : 'unreached';
     logger.warn('stage request to dispatcher failed', {
       requestId: group.requestId,
       orderId,
@@ -170,17 +170,8 @@
     return { kind };
   }
 
-  const noticeHandlers: Partial<Record<string, (orderId: string) => void>> = {
-    'pieces-accepted': (orderId) => {
-      if (acceptedOrders.has(orderId)) acceptedOrders.set(orderId, true);
-    },
-    'inputs-fetched': (orderId) => fetchHandlers.get(orderId)?.(),
-  };
-
-  function handleNotice(kind: string, body: unknown): Promise<unknown> | undefined {
-    const handle = noticeHandlers[kind];
-    if (handle === undefined) return undefined;
-    handle(orderNoticeSchema.parse(body).orderId);
+  function handleInputsFetched(body: unknown): Promise<unknown> {
+    fetchHandlers.get(inputsFetchedSchema.parse(body).orderId)?.();
     return Promise.resolve(true);
   }
 
@@ -215,6 +206,8 @@
       findFleet().notify(hostId, 'free-results', { poolId, results });
     },
     handleRequest: (from, kind, body, signal) =>
-      handleNotice(kind, body) ?? handleStageRequest(from, kind, body, signal),
+      kind === 'inputs-fetched'
+        ? handleInputsFetched(body)
+        : handleStageRequest(from, kind, body, signal),
   };
 }
--- a/packages/relay/src/lib/createStageRequestHandler.ts
+++ b/packages/relay/src/lib/createStageRequestHandler.ts
@@ -11,12 +11,6 @@
 } from './messages.js';
 import type { PieceResult } from './pieces/PieceDispatcher.js';
 
-/**
- * Time from the arrival of a stage until its dispatcher reports that it accepted it, in milliseconds.
- * By then the stage was queued and the queue was scanned with it.
- */
-const ACCEPTANCE_DELAY_MS = 40;
-
 /** Failure reasons that are reported unchanged to the host that sent the stage. */
 const forwardedReasons = ['deadline-exceeded', 'input-lost', 'cancelled', 'overloaded'] as const;
 
@@ -43,28 +37,13 @@
   const { clock, logger, findFleet, findDispatcher, stopDeadline } = options;
   const abortControllers = new Map<string, AbortController>();
 
-  /** Reports to a host that its order did not end this process. */
-  function reportAcceptance(hostId: HostId, orderId: string): void {
-    clock.schedule(ACCEPTANCE_DELAY_MS, () => {
-      // Otherwise the reply has said so.
-      if (abortControllers.has(orderId)) findFleet().notify(hostId, 'pieces-accepted', { orderId });
-    });
-  }
-
   async function handleRunRequest(
     from: HostId,
     body: unknown,
     disconnectSignal: AbortSignal,
   ): Promise<RunPiecesReply> {
-    const {
-      poolId,
-      orderId,
-      remainingMs,
-      targetRemainingMs,
-      inputsRemainingMs,
-      reportsAcceptance = false,
-      ...rest
-    } = runPiecesRequestSchema.parse(body);
+    const { poolId, orderId, remainingMs, targetRemainingMs, inputsRemainingMs, ...rest } =
+      runPiecesRequestSchema.parse(body);
     const dispatcher = findDispatcher(poolId);
     if (dispatcher === undefined) throw new Error(`this host has no dispatcher of pool ${poolId}`);
     const controller = new AbortController();
@@ -109,7 +88,6 @@
         controller.signal,
         hasInputs ? reportFetched : undefined,
       );
-      if (reportsAcceptance) reportAcceptance(from, orderId);
       const result = await running;
       // The host that sent it then sends it to another dispatcher.
       if (result.isErr() && stopDeadline.hasPassed()) throw new Error('this host stops');
--- a/packages/relay/src/lib/messages.ts
+++ b/packages/relay/src/lib/messages.ts
@@ -102,8 +102,6 @@
   remainingMs: z.number(),
   /** Time within which the stage must be done to meet the target latency, in milliseconds. */
   targetRemainingMs: z.number(),
-  /** Whether the sender is to be told when the request was accepted; absent in earlier builds. */
-  reportsAcceptance: z.boolean().optional(),
 });
 
 /** A request to run the pieces of one stage. @internal */
@@ -139,12 +137,11 @@
 export const cancelPiecesSchema = z.object({ poolId: poolIdSchema, orderId: z.string() });
 
 /**
- * Schema of a notification that a {@link RunPiecesRequest} was accepted, or that its inputs were
- * fetched.
+ * Schema of a notification that the inputs of a {@link RunPiecesRequest} were fetched.
  *
  * @internal
  */
-export const orderNoticeSchema = z.object({ orderId: z.string() });
+export const inputsFetchedSchema = z.object({ orderId: z.string() });
 
 /** Schema of a request to free stage results. @internal */
 export const freeResultsSchema = z.object({
