--- a/packages/relay/src/lib/tunnels/createTunnels.ts
+++ b/packages/relay/src/lib/tunnels/createTunnels.ts
@@ -192,7 +192,8 @@
     countCarried: () => carried,
     isCarrying: (address) => openTunnels.has(address),
     announceStop() {
-      for (const peer of carriedPeers) peer.write(STOP_FRAME);
+      // Nothing may follow the mark of the end.
+      for (const peer of carriedPeers) if (peer.writable) peer.write(STOP_FRAME);
     },
   };
 }
