Log a stop with the field names it had, and drop a leftover of the stage notice

And `handleRunRequest` kept a promise in a variable of its own, for a notice that is gone.

Change: the two names are back, beside the new counts; one await instead of two lines. No decision, bound or check changes.

Conclusion: found by reading the whole change again; nothing else was worth a change.

--- a/apps/daemon/src/lib/relay/createHostStop.ts
+++ b/apps/daemon/src/lib/relay/createHostStop.ts
@@ -6,7 +6,7 @@
 
 /** Numbers of what a host has begun and not ended. @internal */
 export interface OpenWork {
-  readonly requests: number;
+  readonly activeRequests: number;
   /** Responses that callers have not received in full. */
   readonly responses: number;
   /** Groups of pieces that wait or run. */
@@ -71,8 +71,8 @@
         deadline.end();
       },
     });
-    // What is still open is cut off.
-    logger.info('stopped', { ...countWork(), durationMs: Math.round(clock.now() - since) });
+    const { activeRequests: cutOff, ...rest } = countWork();
+    logger.info('stopped', { cutOff, ...rest, durationMs: Math.round(clock.now() - since) });
     options.abortResponses();
   }
 
--- a/apps/daemon/src/lib/relay/createRelayHost.ts
+++ b/apps/daemon/src/lib/relay/createRelayHost.ts
@@ -104,7 +104,7 @@
     logger,
     findGraceMs: () => environment.graceMs,
     countWork: () => ({
-      requests: service.countActive(),
+      activeRequests: service.countActive(),
       responses: listener.countOpen(),
       groups: dispatchers.countGroups(),
       carried: tunnels.countCarried(),
--- a/packages/relay/src/lib/createStageRequestHandler.ts
+++ b/packages/relay/src/lib/createStageRequestHandler.ts
@@ -83,12 +83,8 @@
     try {
       const reportFetched = () => findFleet().notify(from, 'inputs-fetched', { orderId });
       const hasInputs = inputs !== undefined;
-      const running = dispatcher.run(
-        group,
-        controller.signal,
-        hasInputs ? reportFetched : undefined,
-      );
-      const result = await running;
+      const onInputsFetched = hasInputs ? reportFetched : undefined;
+      const result = await dispatcher.run(group, controller.signal, onInputsFetched);
       // The host that sent it then sends it to another dispatcher.
       if (result.isErr() && stopDeadline.hasPassed()) throw new Error('this host stops');
       const outcome = encodeOutcome(result);
