Read the body of a request in the turn in which it arrives

What callers saw: 40 to 100 connections that each send a body of 500 KB in chunks of one byte end a process of 350 MB within two seconds, and all other requests with it.

Cause: a request was handed to its listener with setImmediate. Until then the body has no reader, and the runtime queues an object of some 600 bytes for each chunk of up to two reads, 64 KB each: 7 MB or more per connection, for all connections that are polled in the same turn. The budget of bodies counts only what its reader has received.

Why it works: the reader is attached before the parser reports the first chunk, so each chunk is copied and garbage at once, whatever the number of connections.

--- a/apps/daemon/src/lib/createHttpServer.ts
+++ b/apps/daemon/src/lib/createHttpServer.ts
@@ -100,7 +100,8 @@
       response.shouldKeepAlive = false;
       discardRest(request);
     }
-    setImmediate(handle, request as Request, response);
+    // At once: until a body is read, the runtime keeps an object for each of its chunks.
+    handle(request as Request, response);
   });
   return {
     app,
