Pace connections whose bodies come in many small chunks

What callers saw: while 40 or more connections sent bodies in chunks of one byte, the process answered nothing, readiness included, for as long as they sent: no answer within 15 s with 40 and with 100 connections, 202 s for one test of the daemon.

Cause: each chunk is an object and a callback of the runtime, about 2 µs. One connection is read up to 32 times in a turn of the event loop, 64 KB each, and nothing bounded the connections of a turn: a turn of 115 callers took a minute. The stop of a rejected connection after 256 KiB did not hold either, because the HTTP server resumes a connection whenever it wants more of a body.

Fix: a pacer counts chunks per turn. A connection stops after 256, all connections after 32,768 together, and other work then gets as much time as the chunks took. One connection with many chunks is read at a time, and of the others the one that waited longest and the two newest. A body whose connection waits does not time out. `stopReading` also holds against the HTTP server, and the rest of rejected requests uses it.

Why it works: a read is at most 64 KB, so no connection holds the loop for longer than one read, and a new caller is accepted and read ahead of the crowd. No request is rejected for its chunks.

--- a/apps/daemon/src/lib/createBodyReader.test.ts
+++ b/apps/daemon/src/lib/createBodyReader.test.ts
@@ -17,11 +17,13 @@
 
 function createHarness() {
   const clock = createFakeClock();
+  let isWaiting = false;
   const reader = createBodyReader({
     clock,
     metrics: createMetrics(),
     budget: createMemoryBudget(MEMORY_BYTES),
     maxFreeBlocks: 10,
+    pacer: { isWaiting: () => isWaiting },
   });
   const limits = { maxBytes: MAX_BYTES, headerBytes: 500, idleTimeoutMs: IDLE_TIMEOUT_MS };
   const send = (headers: Record<string, string> = {}) => {
@@ -44,7 +46,8 @@
       release: () => results[0]?.map((body) => body.release()),
     };
   };
-  return { clock, send };
+  const setWaiting = (value: boolean) => (isWaiting = value);
+  return { clock, send, setWaiting };
 }
 
 const describe = ({ reason, execution }: Failure) => `${reason}, ${execution}`;
@@ -143,6 +146,17 @@
   assert.equal(request.reason(), 1_000);
 });
 
+test('a body whose connection waits for others does not time out', async () => {
+  const { clock, send, setWaiting } = createHarness();
+  const request = send();
+  await request.write(1_000);
+  setWaiting(true);
+  await clock.advance(2 * IDLE_TIMEOUT_MS);
+  setWaiting(false);
+  await request.end();
+  assert.equal(request.reason(), 1_000);
+});
+
 // Chunk extensions are no content, so such a body never reaches the size limit.
 test('a body with far more bytes around it than in it is rejected', async () => {
   const { clock, send } = createHarness();
--- a/apps/daemon/src/lib/createBodyReader.ts
+++ b/apps/daemon/src/lib/createBodyReader.ts
@@ -14,6 +14,7 @@
 import { checkBodyProgress, computeBodyWeight } from './checkBodyProgress.js';
 import { createBlockPool } from './createBlockPool.js';
 import { createBodyBuffer } from './createBodyBuffer.js';
+import type { ReadPacer } from './createReadPacer.js';
 
 /** Interval at which the progress of bodies is checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
@@ -57,6 +58,8 @@
   readonly budget: MemoryBudget;
   /** Number of free blocks that are kept for bodies. */
   readonly maxFreeBlocks: number;
+  /** Connections that wait because others are read make no progress. */
+  readonly pacer: Pick<ReadPacer, 'isWaiting'>;
 }
 
 /** A body that has not arrived completely. */
@@ -74,7 +77,7 @@
  * @internal
  */
 export function createBodyReader(options: BodyReaderOptions): BodyReader {
-  const { clock, metrics, budget } = options;
+  const { clock, metrics, budget, pacer } = options;
   const pool = createBlockPool(options.maxFreeBlocks);
   const open = new Set<OpenBody>();
   const recordDrop = metrics.registerCounter(
@@ -125,6 +128,10 @@
         lastContentAt += pausedMs;
       },
       check(now) {
+        if (pacer.isWaiting(socket)) {
+          body.addPause(CHECK_INTERVAL_MS);
+          return;
+        }
         const encodedBytes = socket.bytesRead - firstByte;
         const progress = { startedAt, lastContentAt, contentBytes, encodedBytes };
         const failure = checkBodyProgress(progress, now, idleTimeoutMs);
--- a/apps/daemon/src/lib/createConnectionGuard.test.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.test.ts
@@ -4,7 +4,10 @@
 import type { Socket } from 'node:net';
 import { test } from 'node:test';
 
+import { createFakeClock } from '@endiveferry/base';
+
 import { createConnectionGuard } from './createConnectionGuard.js';
+import { createReadPacer } from './createReadPacer.js';
 import { DEFAULT_PROCESS_LIMITS, planConnections } from './planConnections.js';
 
 const MAX_CONNECTIONS = 3;
@@ -16,6 +19,7 @@
     maxConnections: MAX_CONNECTIONS,
     maxPipelined: MAX_PIPELINED,
     onDrop: (reason) => drops.push(reason),
+    pacer: createReadPacer(createFakeClock()),
   });
   const connect = () => {
     const socket = Object.assign(new EventEmitter(), {
--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type { ReadPacer } from './createReadPacer.js';
+
 /** Time that a caller has to read a response that has ended, in milliseconds. */
 const UNREAD_TIMEOUT_MS = 15_000;
 
@@ -26,6 +28,8 @@
   readonly maxPipelined: number;
   /** Called when a connection is closed because of a limit. */
   readonly onDrop: (reason: ConnectionDrop) => void;
+  /** Paces the reading of all connections of the process. */
+  readonly pacer: ReadPacer;
 }
 
 /** Keeps the connections of a listener within their limits. @internal */
@@ -77,6 +81,7 @@
       }
       open.set(socket, 0);
       unused.add(socket);
+      limits.pacer.add(socket);
       socket.once('close', () => remove(socket));
     },
     admit({ socket }, response) {
--- a/apps/daemon/src/lib/createHttpServer.ts
+++ b/apps/daemon/src/lib/createHttpServer.ts
@@ -96,9 +96,13 @@
   const handle = app.handler as (request: Request, response: ServerResponse) => unknown;
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     if (!guard.admit(request, response)) return;
-    if (!limits.hasBodies && hasBody(request) && request.url !== limits.bodyPath) {
-      response.shouldKeepAlive = false;
-      discardRest(request);
+    if (hasBody(request)) {
+      const { socket } = request;
+      request.on('data', () => limits.pacer.count(socket));
+      if (!limits.hasBodies && request.url !== limits.bodyPath) {
+        response.shouldKeepAlive = false;
+        discardRest(request);
+      }
     }
     // At once: until a body is read, the runtime keeps an object for each of its chunks.
     handle(request as Request, response);
--- a/apps/daemon/src/lib/createListenerLimits.ts
+++ b/apps/daemon/src/lib/createListenerLimits.ts
@@ -5,6 +5,7 @@
 import { createBodyReader, type BodyReader } from './createBodyReader.js';
 import type { ConnectionLimits } from './createConnectionGuard.js';
 import { createDropLog, type ListenerName } from './createDropLog.js';
+import { createReadPacer } from './createReadPacer.js';
 import { createUnreadResponses, type UnreadResponses } from './createUnreadResponses.js';
 import { DEFAULT_PROCESS_LIMITS, planConnections, type ProcessLimits } from './planConnections.js';
 
@@ -43,20 +44,26 @@
   const plan = planConnections(options.process ?? DEFAULT_PROCESS_LIMITS);
   const budget = createMemoryBudget(plan.bodyBytes);
   const createDropCallback = createDropLog(options);
+  const pacer = createReadPacer(clock);
+  const bodies = createBodyReader({
+    clock,
+    metrics,
+    budget,
+    maxFreeBlocks: Math.floor(plan.bodyBytes / BLOCK_BYTES),
+    pacer,
+  });
   return {
-    bodies: createBodyReader({
-      clock,
-      metrics,
-      budget,
-      maxFreeBlocks: Math.floor(plan.bodyBytes / BLOCK_BYTES),
-    }),
+    bodies,
     unread: createUnreadResponses(clock, budget),
     callers: {
+      pacer,
       maxConnections: plan.callers,
       maxPipelined: MAX_PIPELINED,
       onDrop: createDropCallback('callers'),
     },
     createShort: (listener) => ({
+      // Health checks don't wait for callers.
+      pacer: { ...pacer, add: () => undefined },
       maxConnections: plan.operators,
       maxPipelined: MAX_PIPELINED_CHECKS,
       onDrop: createDropCallback(listener),
--- a/apps/daemon/src/lib/discardRest.ts
+++ b/apps/daemon/src/lib/discardRest.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { freeChunk } from './freeChunk.js';
+import { stopReading } from './stopReading.js';
 
 /** Maximum size of the rest that is read, in bytes. */
 const MAX_DISCARDED_BYTES = 262_144;
@@ -18,9 +19,12 @@
 export function discardRest(request: IncomingMessage): void {
   const { socket } = request;
   const lastByte = socket.bytesRead + MAX_DISCARDED_BYTES;
+  let isStopped = false;
   request.on('data', (chunk: Buffer) => {
     freeChunk(chunk);
-    if (socket.bytesRead > lastByte) socket.pause();
+    if (isStopped || socket.bytesRead <= lastByte) return;
+    isStopped = true;
+    stopReading(socket);
   });
   // The HTTP server calls this once the response is written.
   socket.destroySoon = () => {
