Make room for new callers when all connections have stopped bodies

What callers saw: as many connections as the listener accepts, each with a body that stops and stays open, kept all new callers out until the idle timeout of those bodies, with a host that said that it was ready.

Cause: at the limit of connections only one without a request was closed; with none, the new connection was closed.

Fix: without an unused connection, the request whose body has been without content for longest, a second at least, is rejected with 503, `not-run` and Retry-After, and the new caller is accepted. The rejected connection is the first to be closed after that.

Why it works: a body that makes progress, a complete one and a connection that waits for others are never chosen. Below the limit of connections nothing changes, so no caller within the limits meets it in calm.

--- a/apps/daemon/src/lib/createBodyReader.test.ts
+++ b/apps/daemon/src/lib/createBodyReader.test.ts
@@ -47,7 +47,7 @@
     };
   };
   const setWaiting = (value: boolean) => (isWaiting = value);
-  return { clock, send, setWaiting };
+  return { clock, reader, send, setWaiting };
 }
 
 const describe = ({ reason, execution }: Failure) => `${reason}, ${execution}`;
@@ -157,6 +157,25 @@
   assert.equal(request.reason(), 1_000);
 });
 
+// Bodies that had stopped kept all connections until their time was up.
+test('room is made by the body that stopped first, not by one that arrives', async () => {
+  const { clock, reader, send } = createHarness();
+  const [first, second] = [send(), send()];
+  await first.write(100);
+  await clock.advance(500);
+  await second.write(100);
+  assert.equal(reader.rejectStopped(), false);
+  await clock.advance(1_500);
+  const active = send();
+  await active.write(200_000);
+  assert.deepEqual([reader.rejectStopped(), reader.rejectStopped()], [true, true]);
+  await settle();
+  assert.equal(first.reason(), 'overloaded, not-run');
+  assert.equal(second.reason(), 'overloaded, not-run');
+  assert.equal(reader.rejectStopped(), false);
+  assert.equal(active.reason(), undefined);
+});
+
 // Chunk extensions are no content, so such a body never reaches the size limit.
 test('a body with far more bytes around it than in it is rejected', async () => {
   const { clock, send } = createHarness();
--- a/apps/daemon/src/lib/createBodyReader.ts
+++ b/apps/daemon/src/lib/createBodyReader.ts
@@ -24,6 +24,8 @@
 const PARSED_HEADER_RATIO = 2;
 /** Time after which the memory may be free again, in milliseconds. */
 const RETRY_AFTER_MS = 1_000;
+/** Time without content from which a body has stopped, in milliseconds. */
+const MIN_STOPPED_MS = 1_000;
 
 /** Limits of one body. @internal */
 export interface BodyLimits {
@@ -48,6 +50,8 @@
    * early, or is dropped because the memory is used up.
    */
   read(request: IncomingMessage, limits: BodyLimits): Promise<Result<HeldBody, Failure>>;
+  /** Drops the body that has been without content for longest, if any has stopped. Returns whether it did. */
+  readonly rejectStopped: () => boolean;
 }
 
 /** Options of {@link createBodyReader}. @internal */
@@ -67,6 +71,9 @@
   /** Moves its times on by a pause of this process, in milliseconds. */
   readonly addPause: (pausedMs: number) => void;
   readonly check: (now: number) => void;
+  /** Returns the monotonic time at which content last arrived, in milliseconds. */
+  readonly getLastContentAt: () => number;
+  readonly drop: (reason: string) => void;
 }
 
 /**
@@ -137,9 +144,11 @@
         const failure = checkBodyProgress(progress, now, idleTimeoutMs);
         if (failure !== undefined) fail(failure);
       },
+      getLastContentAt: () => lastContentAt,
+      drop: (reason) => fail(createNotRunFailure('overloaded', reason, RETRY_AFTER_MS)),
     };
     const holder: MemoryHolder = {
-      abort: ({ message }) => fail(createNotRunFailure('overloaded', message, RETRY_AFTER_MS)),
+      abort: ({ message }) => body.drop(message),
       weigh: (bytes) => (isOpen ? computeBodyWeight(bytes, clock.now() - lastContentAt) : 0),
     };
 
@@ -202,5 +211,17 @@
       }
       return new Promise((resolve) => receive(request, limits, resolve));
     },
+    rejectStopped() {
+      let stopped: OpenBody | undefined;
+      let stoppedAt = clock.now() - MIN_STOPPED_MS;
+      for (const body of open) {
+        const lastContentAt = body.getLastContentAt();
+        if (lastContentAt > stoppedAt) continue;
+        stopped = body;
+        stoppedAt = lastContentAt;
+      }
+      stopped?.drop('there are too many connections, and the body had stopped');
+      return stopped !== undefined;
+    },
   };
 }
--- a/apps/daemon/src/lib/createConnectionGuard.test.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.test.ts
@@ -13,13 +13,14 @@
 const MAX_CONNECTIONS = 3;
 const MAX_PIPELINED = 2;
 
-function createHarness() {
+function createHarness(rejectStopped?: () => boolean) {
   const drops: string[] = [];
   const guard = createConnectionGuard({
     maxConnections: MAX_CONNECTIONS,
     maxPipelined: MAX_PIPELINED,
     onDrop: (reason) => drops.push(reason),
     pacer: createReadPacer(createFakeClock()),
+    ...(rejectStopped === undefined ? {} : { rejectStopped }),
   });
   const connect = () => {
     const socket = Object.assign(new EventEmitter(), {
@@ -65,6 +66,18 @@
   assert.ok(busy.every(({ socket }) => socket.isOpen));
 });
 
+test('a connection is accepted when a request whose body has stopped is rejected', () => {
+  const { connect } = createHarness(() => busy[0]?.request.end() ?? false);
+  const busy = [connect(), connect(), connect()].map((connection) => ({
+    socket: connection.socket,
+    request: connection.request(),
+  }));
+  const next = connect();
+  assert.ok(next.socket.isOpen);
+  assert.equal(connect().socket.isOpen, true);
+  assert.equal(busy[0]?.socket.isOpen, false);
+});
+
 test('a connection with too many open requests is closed', () => {
   const { drops, connect } = createHarness();
   const { socket, request } = connect();
--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -28,6 +28,11 @@
   readonly maxPipelined: number;
   /** Called when a connection is closed because of a limit. */
   readonly onDrop: (reason: ConnectionDrop) => void;
+  /**
+   * Makes room when all connections serve requests: rejects one whose body has stopped, if there is one.
+   * Returns whether it did.
+   */
+  readonly rejectStopped?: () => boolean;
   /** Paces the reading of all connections of the process. */
   readonly pacer: ReadPacer;
 }
@@ -75,9 +80,13 @@
   return {
     add(socket) {
       if (open.size >= limits.maxConnections) {
-        const [oldest = socket] = unused;
-        drop(oldest, 'too-many-connections');
-        if (oldest === socket) return;
+        const [oldest] = unused;
+        if (oldest !== undefined) {
+          drop(oldest, 'too-many-connections');
+        } else if (limits.rejectStopped?.() !== true) {
+          drop(socket, 'too-many-connections');
+          return;
+        }
       }
       open.set(socket, 0);
       unused.add(socket);
--- a/apps/daemon/src/lib/createListenerLimits.ts
+++ b/apps/daemon/src/lib/createListenerLimits.ts
@@ -57,6 +57,7 @@
     unread: createUnreadResponses(clock, budget),
     callers: {
       pacer,
+      rejectStopped: bodies.rejectStopped,
       maxConnections: plan.callers,
       maxPipelined: MAX_PIPELINED,
       onDrop: createDropCallback('callers'),
