Treat a status that HTTP does not define as no response

What callers saw: a backend server's answer with status 600 or 999 was passed on as a signed answer, on plain and streaming routes.

Cause: statuses below 200 are skipped as interim, but nothing checked the upper bound; from 500 on all counted as an error of the server.

Fix: a response with a status outside 100 to 599 closes its connection, and the call ends as `unknown` with the reason `bad-answer`. RFC 9110 tells a client to treat such a response as a server error; callers get 502, which promises nothing. All calls to backend servers pass through `sendCall`: requests, stages, streams, KV and model calls, the own interface, and calls through another host.

Statuses 000, 001, 099 and a response that is never final (100, 103, 199) were no answers before.

--- a/packages/routing/src/lib/sendCall.test.ts
+++ b/packages/routing/src/lib/sendCall.test.ts
@@ -53,6 +53,21 @@
     },
   ));
 
+test('a response whose status HTTP does not define, or that is never final, is no answer', async () => {
+  for (const status of ['000', '001', '099', '100', '103', '199', '600', '999'])
+    await withServer(
+      (socket) => {
+        socket.end(formatResponse(`${status} X`, 'no'));
+      },
+      async (send) => {
+        for (const usesNewConnection of [true, false]) {
+          const result = await send({ usesNewConnection });
+          assert.equal(result.kind, 'unknown', status);
+        }
+      },
+    );
+});
+
 test('a call without a connection is not sent', async () => {
   const connections = createServerConnections('127.0.0.1:1');
   const result = await connections.send({ method: 'POST', path: '/', body: {} });
--- a/packages/routing/src/lib/sendCall.ts
+++ b/packages/routing/src/lib/sendCall.ts
@@ -13,6 +13,9 @@
 
 /** Maximum size of a response that is buffered in memory, in bytes, unless the call has its own. */
 const DEFAULT_MAX_RESPONSE_BYTES = 16_000_000;
+/** Bounds of the status codes that HTTP defines; a response with another one is invalid. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
 /** Lower status codes are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -74,7 +77,7 @@
 /**
  * Result of a call.
  *
- * - `answered`: the complete response arrived, with any status.
+ * - `answered`: the complete response arrived, with a status from 200 to 599.
  * - `not-sent`: no part of the call was written to a socket.
  * - `unknown`: the call was written, but no complete response arrived.
  *
@@ -166,6 +169,11 @@
       }
     },
     onResponseStart(controller, statusCode, responseHeaders) {
+      if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
+        const detail = `the response has the invalid status ${statusCode}`;
+        controller.abort(new CallAbortedError('bad-answer', detail));
+        return;
+      }
       // Interim responses precede the final one.
       if (statusCode < FIRST_FINAL_STATUS) return;
       monitor.recordProgress();
