Close all responses of a connection that closes

Cause: the runtime emits `close` only for the response that is being written. Those that wait behind it never close, so nothing released them, and their requests were not aborted.

Fix: the guard of connections keeps the open responses of each connection and closes what is left of them with it.

Why it works: the listener and the caller's connection already release and abort at the `close` of a response; it now comes for each of them.

--- a/apps/daemon/src/lib/createConnectionGuard.test.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.test.ts
@@ -32,12 +32,17 @@
     });
     guard.add(socket as unknown as Socket);
     const request = () => {
-      const response = new EventEmitter();
+      const response = Object.assign(new EventEmitter(), {
+        headersSent: false,
+        shouldKeepAlive: true,
+        isDestroyed: false,
+        destroy: () => (response.isDestroyed = true),
+      });
       const isAdmitted = guard.admit(
         { socket } as unknown as IncomingMessage,
         response as unknown as ServerResponse,
       );
-      return { isAdmitted, end: () => response.emit('close') };
+      return { isAdmitted, response, end: () => response.emit('close') };
     };
     return { socket, request };
   };
@@ -90,6 +95,21 @@
   assert.deepEqual(drops, ['too-many-requests']);
 });
 
+// Requests of closed connections were never given back, and ran.
+test('all open responses of a connection close with it', async () => {
+  const { connect } = createHarness();
+  const { socket, request } = connect();
+  const [first, second] = [request(), request()];
+  let closed = 0;
+  for (const { response } of [first, second]) response.once('close', () => (closed += 1));
+  socket.destroy();
+  // The runtime closes the response that is being written.
+  first.end();
+  await new Promise((resolve) => process.nextTick(resolve));
+  assert.equal(closed, 2);
+  assert.equal(second.response.isDestroyed, true);
+});
+
 // The defaults must not reject the traffic of a machine without these settings.
 test('the default limits leave room for 1,000 callers and 10 bodies of 4 MiB', () => {
   const plan = planConnections(DEFAULT_PROCESS_LIMITS);
--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -53,8 +53,8 @@
  * @internal
  */
 export function createConnectionGuard(limits: ConnectionLimits): ConnectionGuard {
-  /** Numbers of open requests, by connection. */
-  const open = new Map<Socket, number>();
+  /** Responses that have not been written in full, by connection, in the order of their requests. */
+  const open = new Map<Socket, Set<ServerResponse>>();
   /** Connections without an open request, the longest unused first. */
   const unused = new Set<Socket>();
 
@@ -70,11 +70,14 @@
     unused.delete(socket);
   }
 
-  function finish(socket: Socket): void {
-    const count = open.get(socket);
-    if (count === undefined) return;
-    open.set(socket, count - 1);
-    if (count === 1) unused.add(socket);
+  /** Closes the responses of a closed connection. The runtime does so only with the first one. */
+  function closeResponses(responses: ReadonlySet<ServerResponse>): void {
+    process.nextTick(() => {
+      for (const response of responses) {
+        response.destroy();
+        response.emit('close');
+      }
+    });
   }
 
   return {
@@ -88,22 +91,29 @@
           return;
         }
       }
-      open.set(socket, 0);
+      const responses = new Set<ServerResponse>();
+      open.set(socket, responses);
       unused.add(socket);
       limits.pacer.add(socket);
-      socket.once('close', () => remove(socket));
+      socket.once('close', () => {
+        remove(socket);
+        closeResponses(responses);
+      });
     },
     admit({ socket }, response) {
-      const count = open.get(socket);
+      const responses = open.get(socket);
       // A closed connection may still have a request that was parsed before.
-      if (count === undefined) return false;
-      if (count >= limits.maxPipelined) {
+      if (responses === undefined) return false;
+      if (responses.size >= limits.maxPipelined) {
         drop(socket, 'too-many-requests');
         return false;
       }
-      open.set(socket, count + 1);
+      responses.add(response);
       unused.delete(socket);
-      response.on('close', () => finish(socket));
+      response.once('close', () => {
+        responses.delete(response);
+        if (responses.size === 0 && open.has(socket)) unused.add(socket);
+      });
       response.on('prefinish', () => {
         // The HTTP server sets another timeout when the response has been written.
         if (socket.writableLength > 0) socket.setTimeout(UNREAD_TIMEOUT_MS);
