Let only the last open response of a connection close it

Cause: each response that began during a stop had `Connection: close`, and the runtime closes a connection after such a response, whatever waits behind it.

Fix: a response closes its connection only if no other open one follows. A request that is parsed behind a response that says so is not served; the connection ends after the answers in front of it.

--- a/apps/daemon/src/lib/createConnectionGuard.test.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.test.ts
@@ -110,6 +110,13 @@
   assert.equal(second.response.isDestroyed, true);
 });
 
+test('a request behind a response that closes the connection is not served', () => {
+  const { connect } = createHarness();
+  const { request } = connect();
+  Object.assign(request().response, { headersSent: true, shouldKeepAlive: false });
+  assert.equal(request().isAdmitted, false);
+});
+
 // The defaults must not reject the traffic of a machine without these settings.
 test('the default limits leave room for 1,000 callers and 10 bodies of 4 MiB', () => {
   const plan = planConnections(DEFAULT_PROCESS_LIMITS);
--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -43,6 +43,8 @@
   add(socket: Socket): void;
   /** Returns whether a request may be served; closes its connection if not. */
   admit(request: IncomingMessage, response: ServerResponse): boolean;
+  /** Returns whether a response is the last open one of its connection. */
+  readonly isLast: (response: ServerResponse) => boolean;
 }
 
 /**
@@ -104,6 +106,8 @@
       const responses = open.get(socket);
       // A closed connection may still have a request that was parsed before.
       if (responses === undefined) return false;
+      // The connection closes before the response to this request could be sent.
+      if ([...responses].some(isClosing)) return false;
       if (responses.size >= limits.maxPipelined) {
         drop(socket, 'too-many-requests');
         return false;
@@ -120,5 +124,12 @@
       });
       return true;
     },
+    isLast(response) {
+      const responses = open.get(response.req.socket);
+      return responses === undefined || [...responses].at(-1) === response;
+    },
   };
 }
+
+const isClosing = ({ headersSent, shouldKeepAlive }: ServerResponse) =>
+  headersSent && !shouldKeepAlive;
--- a/apps/daemon/src/lib/createHttpServer.ts
+++ b/apps/daemon/src/lib/createHttpServer.ts
@@ -27,6 +27,8 @@
   readonly server: Server;
   /** Starts listening, and resolves to the bound address. */
   listen(address: string): Promise<string>;
+  /** Returns whether a response is the last open one of its connection, so that it may close it. */
+  readonly isLastOpen: (response: ServerResponse) => boolean;
   /** Reloads the TLS keys, which apply to new connections. */
   reloadKeys(): void;
   /** Stops accepting connections, and waits until those in use have ended. */
@@ -121,6 +123,7 @@
         });
       });
     },
+    isLastOpen: guard.isLast,
     reloadKeys() {
       const next = findKeys();
       if (next !== undefined) tlsServer?.setSecureContext(buildSecureContext(next));
--- a/apps/daemon/src/lib/relay/createRelayListener.ts
+++ b/apps/daemon/src/lib/relay/createRelayListener.ts
@@ -144,7 +144,7 @@
       headers: request.headers,
       body,
     };
-    const responder = createResponder(response, isStopping);
+    const responder = createResponder(response, () => isStopping() && http.isLastOpen(response));
     const requestId = await service.serve(callerRequest, responder, connection);
     if (requestId !== undefined && open.has(response)) unwritten.set(response, requestId);
     limits.unread.hold(response, () => {
