Keep errors of the HTTP parser from answering running requests

Cause: without a `clientError` handler the runtime writes the status of the request that it cannot read on the connection at once, where the response to the one in front is expected, and destroys the connection.

Fix: a handler for all listeners. With open responses the connection takes no further requests and closes after them; a request whose body cannot be parsed is rejected in its turn.

Why it works: statuses are written only in the order of the requests, and the runtime no longer writes any by itself.

--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -43,6 +43,11 @@
   add(socket: Socket): void;
   /** Returns whether a request may be served; closes its connection if not. */
   admit(request: IncomingMessage, response: ServerResponse): boolean;
+  /**
+   * Admits no more requests of a connection. Returns its open responses in the order of their
+   * requests; undefined if the connection was closing before.
+   */
+  readonly startClosing: (socket: Socket) => readonly ServerResponse[] | undefined;
   /** Returns whether a response is the last open one of its connection. */
   readonly isLast: (response: ServerResponse) => boolean;
 }
@@ -59,6 +64,8 @@
   const open = new Map<Socket, Set<ServerResponse>>();
   /** Connections without an open request, the longest unused first. */
   const unused = new Set<Socket>();
+  /** Connections that close after their open responses. */
+  const closing = new WeakSet<Socket>();
 
   function drop(socket: Socket, reason: ConnectionDrop): void {
     limits.onDrop(reason);
@@ -107,7 +114,7 @@
       // A closed connection may still have a request that was parsed before.
       if (responses === undefined) return false;
       // The connection closes before the response to this request could be sent.
-      if ([...responses].some(isClosing)) return false;
+      if (closing.has(socket) || [...responses].some(isClosing)) return false;
       if (responses.size >= limits.maxPipelined) {
         drop(socket, 'too-many-requests');
         return false;
@@ -124,6 +131,11 @@
       });
       return true;
     },
+    startClosing(socket) {
+      if (closing.has(socket)) return undefined;
+      closing.add(socket);
+      return [...(open.get(socket) ?? [])];
+    },
     isLast(response) {
       const responses = open.get(response.req.socket);
       return responses === undefined || [...responses].at(-1) === response;
--- a/apps/daemon/src/lib/createHttpServer.ts
+++ b/apps/daemon/src/lib/createHttpServer.ts
@@ -14,6 +14,7 @@
 
 import { createConnectionGuard, type ConnectionLimits } from './createConnectionGuard.js';
 import { discardRest } from './discardRest.js';
+import { handleClientError } from './handleClientError.js';
 
 /**
  * HTTP or HTTPS server with its routes.
@@ -92,6 +93,9 @@
   server.on(tlsServer === undefined ? 'connection' : 'secureConnection', (socket: Socket) =>
     guard.add(socket),
   );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+    handleClientError(guard, error, socket),
+  );
   if (!limits.hasBodies) server.setTimeout(SHORT_REQUEST_TIMEOUT_MS);
   const app = polka({ server, ...errorHandlers });
   // Without a third argument, the application calls its own error handlers.
