Never reject a body that waits for the reading of others

When all connections have requests, the body that has stopped for longest is rejected; one whose connection waits in the pacer counts as arriving, also between two checks of its progress.

--- a/apps/daemon/src/lib/createBodyReader.test.ts
+++ b/apps/daemon/src/lib/createBodyReader.test.ts
@@ -147,11 +147,12 @@
 });
 
 test('a body whose connection waits for others does not time out', async () => {
-  const { clock, send, setWaiting } = createHarness();
+  const { clock, reader, send, setWaiting } = createHarness();
   const request = send();
   await request.write(1_000);
   setWaiting(true);
   await clock.advance(2 * IDLE_TIMEOUT_MS);
+  assert.equal(reader.rejectStopped(), false);
   setWaiting(false);
   await request.end();
   assert.equal(request.reason(), 1_000);
--- a/apps/daemon/src/lib/createBodyReader.ts
+++ b/apps/daemon/src/lib/createBodyReader.ts
@@ -71,7 +71,7 @@
   /** Moves its times on by a pause of this process, in milliseconds. */
   readonly addPause: (pausedMs: number) => void;
   readonly check: (now: number) => void;
-  /** Returns the monotonic time at which content last arrived, in milliseconds. */
+  /** Returns the monotonic time until which it made progress, in milliseconds. */
   readonly getLastContentAt: () => number;
   readonly drop: (reason: string) => void;
 }
@@ -144,7 +144,7 @@
         const failure = checkBodyProgress(progress, now, idleTimeoutMs);
         if (failure !== undefined) fail(failure);
       },
-      getLastContentAt: () => lastContentAt,
+      getLastContentAt: () => (pacer.isWaiting(socket) ? clock.now() : lastContentAt),
       drop: (reason) => fail(createNotRunFailure('overloaded', reason, RETRY_AFTER_MS)),
     };
     const holder: MemoryHolder = {
--- a/apps/daemon/src/lib/createConnectionGuard.ts
+++ b/apps/daemon/src/lib/createConnectionGuard.ts
@@ -114,7 +114,7 @@
       // A closed connection may still have a request that was parsed before.
       if (responses === undefined) return false;
       // The connection closes before the response to this request could be sent.
-      if (closing.has(socket) || [...responses].some(isClosing)) return false;
+      if (closing.has(socket) || [...responses].some(hasClosingHead)) return false;
       if (responses.size >= limits.maxPipelined) {
         drop(socket, 'too-many-requests');
         return false;
@@ -143,5 +143,5 @@
   };
 }
 
-const isClosing = ({ headersSent, shouldKeepAlive }: ServerResponse) =>
+const hasClosingHead = ({ headersSent, shouldKeepAlive }: ServerResponse) =>
   headersSent && !shouldKeepAlive;
--- a/apps/daemon/src/lib/handleClientError.ts
+++ b/apps/daemon/src/lib/handleClientError.ts
@@ -40,9 +40,8 @@
   socket: Socket,
 ): void {
   const code = error.code ?? '';
-  const isReadable =
-    socket.writable && (code.startsWith(PARSER_PREFIX) || code === REQUEST_TIMEOUT);
-  if (!isReadable) {
+  const isRequestError = code.startsWith(PARSER_PREFIX) || code === REQUEST_TIMEOUT;
+  if (!isRequestError || !socket.writable) {
     socket.destroy();
     return;
   }
